--- /dev/null
+++ b/cmd/celerysidecar/main.go
@@ -0,0 +1,57 @@
+// Command celerysidecar is the node on the users' platform: the one process of the system
+// beside each upstream.
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"celerybank/internal/command"
+	"celerybank/internal/events"
+	"celerybank/internal/peer"
+	"celerybank/internal/sidecar"
+	"celerybank/platform"
+)
+
+// Collector settings: memory is dear on the hosts, and the live heap is small.
+const (
+	gcPercent = 50
+	// heapShare of the host's limit makes the collector work harder before the process is killed.
+	heapShare = 0.6
+)
+
+func main() {
+	app := kingpin.New("celerysidecar", "The node of a celerybank mesh on the users' platform. SIGTERM drains it.\n\nExample: "+
+		platform.SettingsVariable+"=settings.json celerysidecar\n         celerysidecar --settings settings.json --check").Version(command.Version)
+	app.HelpFlag.Short('h')
+	path := app.Flag("settings", "File with the platform's settings.").Short('s').Default(platform.SettingsPath()).String()
+	check := app.Flag("check", "Check the settings and exit.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	command.Exit("celerysidecar", run(*path, *check))
+}
+
+func run(path string, checkOnly bool) error {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	if checkOnly {
+		fmt.Printf("%s: ok: %s\n", path, s)
+		return nil
+	}
+	debug.SetGCPercent(gcPercent)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
+	}
+	ev := events.New(s.Name, s.Zone, command.NewLog())
+	var network peer.TCP
+	if ap, err := netip.ParseAddrPort(s.Peers); err == nil {
+		network.From = ap.Addr().AsSlice()
+	}
+	stop, _ := command.Signals()
+	return sidecar.New(stop, s, network, ev).Run(stop)
+}
--- /dev/null
+++ b/internal/delivery/owner.go
@@ -0,0 +1,354 @@
+package delivery
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"celerybank/internal/crash"
+	"celerybank/internal/events"
+	"celerybank/internal/proxy"
+	"celerybank/internal/registry"
+	"celerybank/internal/routes"
+	"celerybank/internal/upstream"
+	"celerybank/internal/verdict"
+)
+
+// Wire translates requests and answers to what the upstream speaks.
+type Wire interface {
+	upstreamDialect
+	// Request writes what the upstream is sent: left is what remains of the caller's time.
+	Request(out *fasthttp.Request, req *proxy.Request, instance string, left time.Duration)
+	// Answer reads a whole answer; a spoiled one cannot be handed on.
+	Answer(in *fasthttp.Response, sent *proxy.Request, v verdict.Verdict) (a *proxy.Answer, spoiled bool)
+	// Probe asks the upstream how it is; Health reads the answer.
+	Probe(out *fasthttp.Request, path string)
+	Health(in *fasthttp.Response) Health
+}
+
+type upstreamDialect interface {
+	Dialect() upstream.Dialect
+}
+
+// Health is what an upstream answers to a probe.
+type Health struct {
+	// Instance is the process that answered; empty when it did not say.
+	Instance string
+	Cold     time.Duration
+	OK       bool
+}
+
+// Observer learns the outcome of each request that reached the upstream.
+type Observer interface {
+	Observe(version, route string, failed bool, took time.Duration)
+}
+
+// current is the upstream that the owner speaks for.
+type current struct {
+	registry.Upstream
+	client *upstream.Client
+	down   atomic.Bool
+}
+
+// Owner answers for the upstream on this host.
+type Owner struct {
+	gate     *Gate
+	dialer   upstream.Dialer
+	wire     Wire
+	table    func() *routes.Table
+	barred   func(version string) proxy.Reason
+	crashes  *crash.Registry
+	observer Observer
+	events   *events.Recorder
+
+	mu sync.Mutex
+	// quarantined until then: the zone came back and the upstream may be cold without having said so.
+	doubtUntil time.Time
+	up         atomic.Pointer[current]
+	life       context.Context
+}
+
+// Config has what an owner needs.
+type Config struct {
+	Gate     *Gate
+	Dialer   upstream.Dialer
+	Wire     Wire
+	Table    func() *routes.Table
+	Barred   func(version string) proxy.Reason
+	Crashes  *crash.Registry
+	Observer Observer
+	Events   *events.Recorder
+}
+
+// New returns an owner without an upstream; ctx ends with the process.
+func New(ctx context.Context, c Config) *Owner {
+	return &Owner{gate: c.Gate, dialer: c.Dialer, wire: c.Wire, table: c.Table, barred: c.Barred, crashes: c.Crashes,
+		observer: c.Observer, events: c.Events, life: ctx}
+}
+
+// maxAnswer bounds an answer of the upstream, in bytes: what a message between nodes carries.
+const maxAnswer = 15 << 20
+
+// defaultConnections bounds the connections to an upstream whose service states no figure.
+const defaultConnections = 100
+
+// connectionShare is the part of the upstream's connections that is used; beyond its bound it resets them.
+const connectionShare = 0.8
+
+// SetUpstream takes in what the upstream of this host announced.
+func (o *Owner) SetUpstream(u registry.Upstream, present bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	old := o.up.Load()
+	switch {
+	case !present:
+		o.up.Store(nil)
+		o.gate.Close(proxy.ReasonNoUpstream)
+	case u.State != registry.Ready:
+		o.gate.Close(proxy.ReasonDraining)
+	case old != nil && old.Instance == u.Instance && old.Born == u.Born:
+		old.down.Store(false)
+		next := &current{Upstream: u, client: old.client}
+		o.up.Store(next)
+		o.doubtUntil = time.Time{}
+		o.open(next)
+	default:
+		next := &current{Upstream: u, client: upstream.NewClient(u.Address, o.dialer, o.connections(u.Service), maxAnswer, nil).Speak(o.wire.Dialect())}
+		o.up.Store(next)
+		if old != nil {
+			old.client.CloseIdle()
+		}
+		o.doubtUntil = time.Time{}
+		o.open(next)
+	}
+}
+
+// Refresh takes in a new configuration.
+func (o *Owner) Refresh() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if up := o.up.Load(); up != nil && up.State == registry.Ready && !up.down.Load() {
+		o.open(up)
+	}
+}
+
+// Doubt treats the upstream as cold until it announces itself again.
+func (o *Owner) Doubt() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.doubtUntil = time.Now().Add(doubtLimit)
+	if up := o.up.Load(); up != nil && up.State == registry.Ready {
+		o.open(up)
+	}
+}
+
+// doubtLimit bounds how long an upstream counts as cold for want of an announcement.
+const doubtLimit = 5 * time.Second
+
+// open sets the gate for an upstream that takes work. o.mu is held.
+func (o *Owner) open(up *current) {
+	rate := 0.0
+	if t := o.table(); t != nil {
+		if s := t.Service(up.Service); s != nil {
+			rate = s.ColdPerSecond
+		}
+	}
+	until := up.ColdUntil
+	if o.doubtUntil.After(until) {
+		until = o.doubtUntil
+	}
+	o.gate.Open(up.Slots, until, rate)
+}
+
+func (o *Owner) connections(service string) int {
+	if t := o.table(); t != nil {
+		if s := t.Service(service); s != nil && s.MaxConnections > 0 {
+			return max(1, int(float64(s.MaxConnections)*connectionShare))
+		}
+	}
+	return defaultConnections
+}
+
+// Handle runs one request at the upstream, if it is admitted. It implements proxy.Runner.
+func (o *Owner) Handle(ctx context.Context, req *proxy.Request) *proxy.Answer {
+	a := o.handle(ctx, req)
+	a.Load = o.gate.Load()
+	return a
+}
+
+func (o *Owner) handle(ctx context.Context, req *proxy.Request) *proxy.Answer {
+	up := o.up.Load()
+	if up == nil {
+		return proxy.Refusal(verdict.NotRun, proxy.ReasonNoUpstream)
+	}
+	bar := o.barred(up.Version)
+	switch {
+	case up.Service != req.Service || (req.Version != "" && req.Version != up.Version):
+		return proxy.Refusal(verdict.NotRun, proxy.ReasonMoved)
+	case bar != proxy.ReasonNone:
+		return proxy.Refusal(verdict.NotRun, bar)
+	case o.crashes.Watching() && o.crashes.Blocked(proxy.Fingerprint(req)):
+		return proxy.Refusal(verdict.NotRun, proxy.ReasonCrashing)
+	}
+	now := time.Now()
+	claim := Claim{Rank: req.Rank, Patient: req.Patient, Deadline: now.Add(req.Timeout), Target: now.Add(req.Target)}
+	if refused, ok := o.gate.Acquire(ctx, claim); !ok {
+		a := proxy.Refusal(verdict.NotRun, refused.Reason)
+		a.RetryAfter = refused.After
+		return a
+	}
+	// What was decided before the wait may have changed in it.
+	if now := o.up.Load(); now == nil || now.Instance != up.Instance || now.Born != up.Born || now.State != registry.Ready {
+		o.gate.Release(0)
+		return proxy.Refusal(verdict.NotRun, proxy.ReasonMoved)
+	}
+	if bar := o.barred(up.Version); bar != proxy.ReasonNone {
+		o.gate.Release(0)
+		return proxy.Refusal(verdict.NotRun, bar)
+	}
+	a := o.send(ctx, up, req)
+	o.gate.Release(a.Took)
+	return a
+}
+
+// send is the only place where a request leaves for the upstream.
+func (o *Owner) send(ctx context.Context, up *current, req *proxy.Request) *proxy.Answer {
+	hr, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(hr)
+	defer fasthttp.ReleaseResponse(resp)
+	left := req.Timeout
+	if d, ok := ctx.Deadline(); ok {
+		left = time.Until(d)
+	}
+	o.wire.Request(hr, req, up.Instance, left)
+	if !req.Idempotent {
+		ctx = upstream.WithFresh(ctx)
+	}
+	start := time.Now()
+	v, err := up.client.Do(ctx, hr, resp)
+	took := time.Since(start)
+	if err != nil {
+		return o.failed(ctx, up, req, v, err, took)
+	}
+	a, spoiled := o.wire.Answer(resp, req, v)
+	a.Took = took
+	if spoiled {
+		o.events.Emit(events.CallFailed, events.Fields{"request": req.RequestID, "instance": up.Instance, "reason": proxy.ReasonSpoiled, "status": a.Status})
+		a = proxy.Refusal(verdict.MayHaveRun, proxy.ReasonSpoiled)
+		a.Took = took
+	}
+	if a.Verdict != verdict.NotRun {
+		o.observer.Observe(up.Version, req.Route, spoiled || a.Status >= fasthttp.StatusInternalServerError, took)
+	}
+	if o.crashes.Watching() && a.Verdict == verdict.Ran {
+		o.crashes.Cleared(proxy.Fingerprint(req))
+	}
+	return a
+}
+
+// failed learns from an exchange without a whole answer, and gives its answer.
+func (o *Owner) failed(ctx context.Context, up *current, req *proxy.Request, v verdict.Verdict, err error, took time.Duration) *proxy.Answer {
+	reason := proxy.ReasonBroken
+	switch {
+	case errors.Is(err, upstream.ErrTooLarge):
+		reason = proxy.ReasonTooLarge
+	case errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = proxy.ReasonDeadline
+	case ctx.Err() != nil:
+		reason = proxy.ReasonCancelled
+	case v == verdict.NotRun:
+		reason = proxy.ReasonUnreachable
+		o.lost(up, err)
+	case !up.client.Accepts(ctx) && ctx.Err() == nil:
+		reason = proxy.ReasonCrashed
+		o.lost(up, err)
+		o.crashes.Blame(proxy.Fingerprint(req), up.Instance)
+	}
+	if reason != proxy.ReasonCancelled && v != verdict.NotRun {
+		o.observer.Observe(up.Version, req.Route, true, took)
+	}
+	a := proxy.Refusal(v, reason)
+	if v != verdict.NotRun {
+		a.Took = took
+	}
+	return a
+}
+
+// lost takes in that the upstream accepts no connections: requests are refused at once
+// until it announces itself or answers a probe.
+func (o *Owner) lost(up *current, err error) {
+	if up.down.Swap(true) {
+		return
+	}
+	o.events.Emit(events.UpstreamGone, events.Fields{"service": up.Service, "instance": up.Instance, "reason": err.Error()})
+	o.mu.Lock()
+	if o.up.Load() == up {
+		o.gate.Close(proxy.ReasonDown)
+	}
+	o.mu.Unlock()
+	go o.probe(up)
+}
+
+// Timing of the probes of an upstream that is down.
+const (
+	probeInterval = 250 * time.Millisecond
+	probeTimeout  = 500 * time.Millisecond
+)
+
+// probe asks an upstream that is down until it answers or another one has taken its place.
+// A process that has started again under its name is cold, and says how long.
+func (o *Owner) probe(up *current) {
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-o.life.Done():
+			return
+		}
+		if o.up.Load() != up || !up.down.Load() {
+			return
+		}
+		if h, ok := o.ask(up); ok && h.OK && h.Instance == up.Instance {
+			o.revive(up, h)
+			return
+		}
+	}
+}
+
+func (o *Owner) ask(up *current) (Health, bool) {
+	ctx, cancel := context.WithTimeout(o.life, probeTimeout)
+	defer cancel()
+	hr, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(hr)
+	defer fasthttp.ReleaseResponse(resp)
+	path := ""
+	if t := o.table(); t != nil && t.Service(up.Service) != nil {
+		path = t.Service(up.Service).HealthPath
+	}
+	if path == "" || !up.client.Accepts(ctx) {
+		return Health{}, false
+	}
+	o.wire.Probe(hr, path)
+	if _, err := up.client.Do(ctx, hr, resp); err != nil {
+		return Health{}, false // the next probe tells
+	}
+	return o.wire.Health(resp), true
+}
+
+func (o *Owner) revive(up *current, h Health) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.up.Load() != up {
+		return
+	}
+	next := &current{Upstream: up.Upstream, client: up.client}
+	next.ColdUntil = time.Now().Add(h.Cold)
+	o.up.Store(next)
+	o.events.Emit(events.UpstreamBack, events.Fields{"service": up.Service, "instance": up.Instance, "cold_ms": h.Cold.Milliseconds()})
+	o.open(next)
+}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -19,7 +19,7 @@
 
 // Catalogue defines every event by its number. Each duty has a file with its own part.
 var Catalogue = merge(processEvents, configEvents, membershipEvents, peerEvents, callEvents,
-	claimEvents, rolloutEvents, azoneEvents)
+	claimEvents, rolloutEvents, azoneEvents, sidecarEvents)
 
 func merge(parts ...map[Code]Definition) map[Code]Definition {
 	all := map[Code]Definition{}
--- a/internal/events/process.go
+++ b/internal/events/process.go
@@ -8,6 +8,7 @@
 	Draining        Code = 101
 	Stopped         Code = 102
 	SettingsRefused Code = 103
+	TaskFailed      Code = 106
 )
 
 var processEvents = map[Code]Definition{
@@ -15,4 +16,5 @@
 	Draining:        {"draining", logrus.InfoLevel, "The process takes no new work and finishes the calls in flight."},
 	Stopped:         {"stopped", logrus.InfoLevel, "The process ends; the field cut counts calls that were not finished."},
 	SettingsRefused: {"settings-refused", logrus.ErrorLevel, "The settings have a fault; nothing was started."},
+	TaskFailed:      {"task-failed", logrus.ErrorLevel, "A duty of the process ended by itself; the field reason says why."},
 }
--- /dev/null
+++ b/internal/events/sidecar.go
@@ -0,0 +1,46 @@
+package events
+
+import "github.com/sirupsen/logrus"
+
+// Events of a node on the users' platform.
+const (
+	OrderApplied    Code = 220
+	OrderWithdrawn  Code = 221
+	OrderRefused    Code = 222
+	Reloaded        Code = 104
+	Woken           Code = 105
+	HostsListed     Code = 330
+	AnnounceIgnored Code = 520
+	AnnounceInvalid Code = 521
+	UpstreamGone    Code = 522
+	UpstreamBack    Code = 523
+	CallRefused     Code = 530
+	CallFailed      Code = 531
+	CallRetried     Code = 532
+	CallCancelled   Code = 533
+	EndpointShunned Code = 534
+	CanaryStep      Code = 720
+	CanaryEnded     Code = 721
+	CanaryRecorded  Code = 722
+)
+
+var sidecarEvents = map[Code]Definition{
+	OrderApplied:    {"order-applied", logrus.InfoLevel, "A record of the operator is in force on this node; the field source says how it came."},
+	OrderWithdrawn:  {"order-withdrawn", logrus.InfoLevel, "A record of the operator was taken away, such as a zone that is in again."},
+	OrderRefused:    {"order-refused", logrus.WarnLevel, "A record of the operator cannot be used and changes nothing; the field reason says why."},
+	Reloaded:        {"reloaded", logrus.InfoLevel, "The settings file was read again."},
+	Woken:           {"woken", logrus.WarnLevel, "The process stood still; what it believed of others is checked again before it serves."},
+	HostsListed:     {"hosts-listed", logrus.InfoLevel, "The list of started nodes was read from the store to find peers."},
+	AnnounceIgnored: {"announcement-ignored", logrus.InfoLevel, "An announcement is older than what is known of its upstream, or of another host."},
+	AnnounceInvalid: {"announcement-invalid", logrus.WarnLevel, "An announcement cannot be used; the field reason says why."},
+	UpstreamGone:    {"upstream-gone", logrus.WarnLevel, "The upstream on this host accepts no connections; requests are refused until it does."},
+	UpstreamBack:    {"upstream-back", logrus.InfoLevel, "The upstream on this host accepts connections again."},
+	CallRefused:     {"call-refused", logrus.InfoLevel, "A request was refused and has not run; reason, room and wait say what decided it."},
+	CallFailed:      {"call-failed", logrus.WarnLevel, "A request ended without an answer of an upstream; the verdict says whether it may have run."},
+	CallRetried:     {"call-retried", logrus.InfoLevel, "A request is sent to another upstream; the field reason says why the first did not serve it."},
+	CallCancelled:   {"call-cancelled", logrus.DebugLevel, "The caller left before the answer; the work was cancelled."},
+	EndpointShunned: {"endpoint-shunned", logrus.InfoLevel, "An upstream gets less or no work from this node for a while; the field reason says why."},
+	CanaryStep:      {"canary-step", logrus.InfoLevel, "The share of a new version changed; the evidence stands beside it."},
+	CanaryEnded:     {"canary-ended", logrus.WarnLevel, "A rollout ended: completed, or taken back for the reason given."},
+	CanaryRecorded:  {"canary-recorded", logrus.InfoLevel, "The outcome of a rollout was written to the store."},
+}
--- a/internal/gossip/join.go
+++ b/internal/gossip/join.go
@@ -115,3 +115,23 @@
 	}
 	return false
 }
+
+// Join copies the list of the member at addr, which need not be known yet; it reports
+// whether a whole list arrived.
+func (m *Members) Join(ctx context.Context, addr string) bool {
+	return m.pullFromAny(ctx, []string{addr})
+}
+
+// Knows reports whether the member at addr is in the list, living or not.
+func (m *Members) Knows(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.all[addr] != nil
+}
+
+// SetSeeds replaces the addresses that a node which is alone joins by.
+func (m *Members) SetSeeds(addrs []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cfg.Seeds = addrs
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,421 @@
+// Package ingress takes requests of callers over HTTP/1.1: kept, new and pipelined
+// connections, bodies with a length or in chunks. A caller that leaves cancels its
+// requests at once. One task reads a connection, one writes its answers in order.
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"celerybank/internal/routes"
+)
+
+// Handler answers one request; ctx ends when its caller leaves. local says that it came
+// from this host.
+type Handler interface {
+	Serve(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, local bool)
+}
+
+// Config has what a server needs.
+type Config struct {
+	Handler Handler
+	// Limits returns what the configuration in force bounds.
+	Limits func() routes.Limits
+	// Local is the IP of this host.
+	Local string
+	// BodyBytes bounds a body whatever the configuration says, and AllBodies those of all requests together.
+	BodyBytes int
+	AllBodies int64
+}
+
+// Server serves callers.
+type Server struct {
+	cfg      Config
+	draining atomic.Bool
+	inflight atomic.Int64
+	bodies   atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// New returns a server.
+func New(cfg Config) *Server { return &Server{cfg: cfg, conns: map[*conn]struct{}{}} }
+
+// Defaults until a configuration is known; those of the platform's examples.
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+	defaultBodyBytes     = 1 << 20
+)
+
+// maxPipelined bounds the requests of one connection that are answered at once.
+const maxPipelined = 32
+
+// writeTimeout bounds the write of one answer: a caller that reads nothing for so long is gone.
+const writeTimeout = 10 * time.Second
+
+// lingerTimeout bounds the wait for the caller's close after the last answer, so that the
+// answer is not lost to a reset.
+const lingerTimeout = 500 * time.Millisecond
+
+// Inflight returns the requests that are being answered.
+func (s *Server) Inflight() int64 { return s.inflight.Load() }
+
+// Drain closes connections after their current answers, and idle ones now.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeIdle()
+	}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		raw, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(acceptPause) // out of descriptors, or a connection that was reset before
+			continue
+		}
+		c := s.newConn(raw)
+		go c.read()
+		go c.write()
+	}
+}
+
+// acceptPause is the wait after a failed accept.
+const acceptPause = 5 * time.Millisecond
+
+// Close ends every connection.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.raw.Close()
+	}
+}
+
+func (s *Server) limits() routes.Limits {
+	l := s.cfg.Limits()
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = defaultHeaderBytes
+	}
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = defaultBodyBytes
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = defaultHeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = defaultIdleTimeout
+	}
+	l.BodyBytes = min(l.BodyBytes, s.cfg.BodyBytes)
+	return l
+}
+
+// conn is one connection of a caller.
+type conn struct {
+	server *Server
+	raw    net.Conn
+	local  bool
+	ctx    context.Context
+	leave  context.CancelFunc
+	// queue has the requests in order; the writer takes their answers when done.
+	queue chan *exchange
+
+	mu sync.Mutex
+	// pending counts requests that were read and whose answer is not written.
+	pending int
+	// closing is set once an answer that closes the connection is chosen: nothing that comes
+	// after it counts as read.
+	closing bool
+}
+
+// exchange is one request and its answer.
+type exchange struct {
+	req  *fasthttp.Request
+	resp *fasthttp.Response
+	done chan struct{}
+	// last closes the connection after this answer.
+	last bool
+}
+
+func (s *Server) newConn(raw net.Conn) *conn {
+	c := &conn{server: s, raw: raw, queue: make(chan *exchange, maxPipelined)}
+	if a, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
+		c.local = a.IP.String() == s.cfg.Local || a.IP.IsLoopback()
+	}
+	c.ctx, c.leave = context.WithCancel(context.Background())
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	return c
+}
+
+// read takes requests until the connection ends. Its end cancels what is under way.
+func (c *conn) read() {
+	defer close(c.queue)
+	r := bufio.NewReaderSize(c.raw, c.server.limits().HeaderBytes)
+	for {
+		x := &exchange{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), done: make(chan struct{})}
+		limits := c.server.limits()
+		if err := c.await(r, limits); err != nil {
+			c.gone(x)
+			return
+		}
+		err := c.receive(r, x, limits)
+		if err != nil && !answerable(err) {
+			c.gone(x)
+			return
+		}
+		if !c.admit() {
+			release(x)
+			return
+		}
+		if err != nil {
+			refuse(x, err)
+			close(x.done)
+			c.queue <- x
+			return
+		}
+		x.last = x.req.Header.ConnectionClose()
+		c.server.inflight.Add(1)
+		c.queue <- x
+		go c.serve(x)
+		if x.last {
+			c.watch(r)
+			return
+		}
+	}
+}
+
+// gone ends what is under way: the caller has left.
+func (c *conn) gone(x *exchange) {
+	release(x)
+	c.leave()
+}
+
+// watch waits for the caller to leave after its last request.
+func (c *conn) watch(r *bufio.Reader) {
+	_ = c.raw.SetReadDeadline(time.Time{})
+	go func() {
+		if _, err := r.ReadByte(); err != nil {
+			c.leave()
+		}
+	}()
+}
+
+// await waits for the first byte of a request.
+func (c *conn) await(r *bufio.Reader, limits routes.Limits) error {
+	for {
+		_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+		_, err := r.Peek(1)
+		var timeout net.Error
+		if err == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
+			return err
+		}
+		if c.idle() {
+			return err
+		}
+	}
+}
+
+func (c *conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending == 0
+}
+
+// admit counts a request that was read, unless the connection is closing.
+func (c *conn) admit() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.pending++
+	return true
+}
+
+// closeIdle closes a connection that waits for a request.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == 0 && !c.closing {
+		c.closing = true
+		_ = c.raw.Close()
+	}
+}
+
+// Faults of a request that get an answer.
+var (
+	errFraming  = errors.New("both a length and a transfer coding, or an unknown coding")
+	errOverload = errors.New("bodies of other requests fill the memory")
+)
+
+// receive reads one request whole.
+func (c *conn) receive(r *bufio.Reader, x *exchange, limits routes.Limits) error {
+	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	if err := x.req.Header.Read(r); err != nil {
+		return err
+	}
+	if err := checkFraming(&x.req.Header); err != nil {
+		return err
+	}
+	if n := x.req.Header.ContentLength(); n > 0 {
+		if c.server.bodies.Add(int64(n)) > c.server.cfg.AllBodies {
+			c.server.bodies.Add(-int64(n))
+			return errOverload
+		}
+		defer c.server.bodies.Add(-int64(n))
+	}
+	if x.req.MayContinue() && c.idle() {
+		if _, err := c.raw.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return err
+		}
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	return x.req.ContinueReadBody(r, limits.BodyBytes, false)
+}
+
+// checkFraming refuses requests whose end two parsers may see at two places (RFC 9112, section 6.3).
+func checkFraming(h *fasthttp.RequestHeader) error {
+	coding := h.Peek(fasthttp.HeaderTransferEncoding)
+	if len(h.PeekAll(fasthttp.HeaderTransferEncoding)) > 1 || (len(coding) > 0 && string(coding) != "chunked") {
+		return errFraming
+	}
+	if len(coding) > 0 && len(h.PeekAll(fasthttp.HeaderContentLength)) > 0 {
+		return errFraming
+	}
+	return nil
+}
+
+// answerable reports whether a request that could not be read gets an answer.
+func answerable(err error) bool {
+	var broken net.Error
+	var header *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &header), errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errFraming), errors.Is(err, errOverload):
+		return true
+	case errors.As(err, &broken):
+		return broken.Timeout()
+	default:
+		return !isEnd(err)
+	}
+}
+
+// refuse writes the answer to a request that could not be read.
+func refuse(x *exchange, err error) {
+	var header *fasthttp.ErrSmallBuffer
+	var broken net.Error
+	code := fasthttp.StatusBadRequest
+	switch {
+	case errors.As(err, &header):
+		code = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		code = fasthttp.StatusRequestEntityTooLarge
+	case errors.Is(err, errOverload):
+		code = fasthttp.StatusServiceUnavailable
+	case errors.As(err, &broken):
+		code = fasthttp.StatusRequestTimeout
+	}
+	x.resp.SetStatusCode(code)
+	x.resp.SetBodyString(err.Error() + "\n")
+	x.last = true
+}
+
+func (c *conn) serve(x *exchange) {
+	defer c.server.inflight.Add(-1)
+	defer close(x.done)
+	c.server.cfg.Handler.Serve(c.ctx, x.req, x.resp, c.local)
+}
+
+// write sends the answers in the order of the requests.
+func (c *conn) write() {
+	defer c.end()
+	w := bufio.NewWriterSize(c.raw, writeBuffer)
+	for x := range c.queue {
+		<-x.done
+		last := c.finish(x)
+		err := c.send(w, x, last)
+		release(x)
+		if err != nil {
+			c.leave()
+			break
+		}
+		if last {
+			c.linger()
+			break
+		}
+	}
+	_ = c.raw.Close()
+	for x := range c.queue {
+		<-x.done
+		release(x)
+	}
+}
+
+// writeBuffer is the buffer for answers, in bytes.
+const writeBuffer = 4 << 10
+
+// finish decides whether the connection closes after x.
+func (c *conn) finish(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
+	last := x.last || (c.server.draining.Load() && c.pending == 0)
+	c.closing = c.closing || last
+	return last
+}
+
+func (c *conn) send(w *bufio.Writer, x *exchange, last bool) error {
+	x.resp.Header.SetNoDefaultContentType(true)
+	x.resp.Header.DisableNormalizing()
+	x.resp.SkipBody = x.req.Header.IsHead()
+	if last {
+		x.resp.SetConnectionClose()
+	}
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := x.resp.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// linger closes the sending side and waits a moment for the caller to close.
+func (c *conn) linger() {
+	half, ok := c.raw.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	select {
+	case <-c.ctx.Done():
+	case <-time.After(lingerTimeout):
+	}
+}
+
+func (c *conn) end() {
+	c.leave()
+	c.server.mu.Lock()
+	delete(c.server.conns, c)
+	c.server.mu.Unlock()
+}
+
+func release(x *exchange) {
+	fasthttp.ReleaseRequest(x.req)
+	fasthttp.ReleaseResponse(x.resp)
+}
--- /dev/null
+++ b/internal/orders/follow.go
@@ -0,0 +1,352 @@
+package orders
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+
+	"celerybank/internal/duration"
+	"celerybank/internal/events"
+	"celerybank/internal/gossip"
+)
+
+// Timing of the distribution. An order has to be in force everywhere within 2 s.
+const (
+	// readersPerZone nodes of each zone read the topic; two, so that one may fail.
+	readersPerZone = 2
+	// readWait is how long a read waits for news; a connection that went silent is noticed after it.
+	readWait = 8 * time.Second
+	// readGap is the least time between two reads that brought news, so that a storm of changes is
+	// read a few at a time; it is a fifth of the time in which an order has to be in force.
+	readGap = 400 * time.Millisecond
+	// retryDelay is the mean pause after the first failed read; it doubles up to retryMax, which
+	// bounds what refused calls cost and how long a store that is back goes unnoticed.
+	retryDelay = 200 * time.Millisecond
+	retryMax   = 1500 * time.Millisecond
+	// roleInterval is the time between checks whether this node is a reader.
+	roleInterval = 300 * time.Millisecond
+	// silenceLimit is the time without news of any reader after which a node reads for itself:
+	// longer than a read that waits and its retry.
+	silenceLimit = readWait + 2*time.Second
+	// repairInterval is the mean time between exchanges of positions with a peer: four nodes of a
+	// zone together ask other zones more than twice a second.
+	repairInterval = 500 * time.Millisecond
+	// farShare is the part of the exchanges that leave the zone, whose bytes are dear.
+	farShare = 0.33
+	// exchangeTimeout bounds one exchange with a peer.
+	exchangeTimeout = 500 * time.Millisecond
+	// newsFanout peers of the zone hear of news from each node that learns it.
+	newsFanout = 6
+)
+
+// Caller performs calls to peers.
+type Caller interface {
+	Call(ctx context.Context, addr, method string, args, reply any) error
+}
+
+// Membership names the nodes to exchange with.
+type Membership interface {
+	Self() gossip.Member
+	Alive() []gossip.Member
+}
+
+// Follower keeps a board current.
+type Follower struct {
+	board   *Board
+	source  Source
+	peers   Caller
+	members Membership
+	events  *events.Recorder
+	ready   chan struct{}
+	// heard is when a reader was last known to be at work, in unix milliseconds.
+	heard atomic.Int64
+	down  atomic.Bool
+	calls atomic.Int64
+	// whole is set once the newest records were read; from then on reads go on at a position.
+	whole atomic.Bool
+}
+
+// NewFollower returns a follower that keeps board current.
+func NewFollower(board *Board, source Source, peers Caller, members Membership, ev *events.Recorder) *Follower {
+	f := &Follower{board: board, source: source, peers: peers, members: members, events: ev, ready: make(chan struct{})}
+	f.hear(0)
+	return f
+}
+
+// Ready is closed once a configuration is known.
+func (f *Follower) Ready() <-chan struct{} { return f.ready }
+
+// Calls returns how many calls to the store were made.
+func (f *Follower) Calls() int64 { return f.calls.Load() }
+
+// Run follows, pushes and repairs until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	var wg conc.WaitGroup
+	wg.Go(func() { f.start(ctx); f.follow(ctx) })
+	wg.Go(func() { f.push(ctx) })
+	wg.Go(func() { f.repair(ctx) })
+	wg.Go(func() { f.awaitConfig(ctx) })
+	wg.Wait()
+	return nil
+}
+
+func (f *Follower) awaitConfig(ctx context.Context) {
+	for {
+		changed := f.board.Changed()
+		if f.board.View().Table != nil {
+			close(f.ready)
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// start reads all newest records once; peers may bring them first.
+func (f *Follower) start(ctx context.Context) {
+	for delay := retryDelay; ctx.Err() == nil && f.board.View().Next == 0; delay = min(2*delay, retryMax) {
+		if f.readWhole(ctx) == nil {
+			return
+		}
+		duration.Sleep(ctx, delay/2+rand.N(delay))
+	}
+}
+
+// follow reads the topic while this node is a reader, or when no reader is heard of.
+func (f *Follower) follow(ctx context.Context) {
+	delay := retryDelay
+	for ctx.Err() == nil {
+		if !f.IsReader() && time.Now().UnixMilli()-f.heard.Load() < silenceLimit.Milliseconds() {
+			duration.Sleep(ctx, roleInterval/2+rand.N(roleInterval))
+			continue
+		}
+		news, err := f.read(ctx)
+		switch {
+		case err != nil:
+			duration.Sleep(ctx, delay/2+rand.N(delay))
+			delay = min(2*delay, retryMax)
+		case news:
+			duration.Sleep(ctx, readGap)
+			fallthrough
+		default:
+			delay = retryDelay
+		}
+	}
+}
+
+// read takes in what follows the board's position; news says that there was something.
+func (f *Follower) read(ctx context.Context) (news bool, err error) {
+	next := f.board.View().Next
+	if next == 0 && !f.whole.Load() {
+		return true, f.readWhole(ctx)
+	}
+	f.calls.Add(1)
+	records, end, gone, err := f.source.Read(ctx, next, readWait)
+	if f.note(ctx, err) != nil {
+		return false, err
+	}
+	if gone {
+		return true, f.readWhole(ctx)
+	}
+	f.board.Apply(Batch{Next: end, Records: records}, "store")
+	return len(records) > 0, nil
+}
+
+func (f *Follower) readWhole(ctx context.Context) error {
+	f.calls.Add(1)
+	records, next, err := f.source.Newest(ctx)
+	if f.note(ctx, err) != nil {
+		return err
+	}
+	f.board.Apply(Batch{Whole: true, Next: next, Records: records}, "store")
+	f.whole.Store(true)
+	return nil
+}
+
+// note records whether the store answers and reports changes of that.
+func (f *Follower) note(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if err == nil {
+		f.hear(0)
+	}
+	if f.down.Swap(err != nil) == (err != nil) {
+		return err
+	}
+	if err != nil {
+		f.events.Emit(events.SourceUnavailable, events.Fields{"reason": err.Error()})
+	} else {
+		f.events.Emit(events.SourceAvailable, events.Fields{"position": f.board.View().Next})
+	}
+	return err
+}
+
+// hear notes that a reader was at work some time ago.
+func (f *Follower) hear(ago time.Duration) {
+	at := time.Now().Add(-ago).UnixMilli()
+	for {
+		old := f.heard.Load()
+		if at <= old || f.heard.CompareAndSwap(old, at) {
+			return
+		}
+	}
+}
+
+// IsReader reports whether this node reads the topic for its zone: the first few of the
+// zone's living nodes by rendezvous hash (Thaler and Ravishankar 1998).
+func (f *Follower) IsReader() bool {
+	self := f.members.Self()
+	mine, ahead := readerRank(self.Addr), 0
+	for _, m := range f.members.Alive() {
+		if m.Zone == self.Zone && m.Addr != self.Addr && readerRank(m.Addr) > mine {
+			ahead++
+		}
+	}
+	return ahead < readersPerZone
+}
+
+func readerRank(addr string) uint64 { return xxhash.Sum64String("reader/" + addr) }
+
+// News says up to which position the sender knows the records, and brings what is new.
+type News struct {
+	// Before is the position from which on Batch has all records.
+	Before int64 `msgpack:"b"`
+	Batch  Batch `msgpack:"n"`
+	// Age is how long ago a reader was heard of, in milliseconds.
+	Age int64 `msgpack:"a"`
+}
+
+// Ask asks for the records from a position on.
+type Ask struct {
+	Next int64 `msgpack:"n"`
+	Age  int64 `msgpack:"a"`
+}
+
+// Reply has what the asker lacks; without records the position alone.
+type Reply struct {
+	Batch Batch `msgpack:"b"`
+	Age   int64 `msgpack:"a"`
+}
+
+// Empty is an answer without content.
+type Empty struct{}
+
+func (f *Follower) age() int64 { return time.Now().UnixMilli() - f.heard.Load() }
+
+// push hands news to peers of the own zone.
+func (f *Follower) push(ctx context.Context) {
+	sent := f.board.View().Next
+	for {
+		changed := f.board.Changed()
+		if next := f.board.View().Next; next > sent {
+			news := &News{Before: sent, Batch: f.board.After(sent), Age: f.age()}
+			sent = next
+			for _, addr := range f.neighbours(newsFanout) {
+				go f.call(ctx, addr, "News", news, &Empty{}) // repair makes up for a loss
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Follower) call(ctx context.Context, addr, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	return f.peers.Call(ctx, addr, "Orders."+method, args, reply)
+}
+
+// neighbours returns up to n random other nodes of the own zone.
+func (f *Follower) neighbours(n int) []string {
+	near, _ := f.others()
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	return near[:min(n, len(near))]
+}
+
+func (f *Follower) others() (near, far []string) {
+	self := f.members.Self()
+	for _, m := range f.members.Alive() {
+		switch {
+		case m.Addr == self.Addr:
+		case m.Zone == self.Zone:
+			near = append(near, m.Addr)
+		default:
+			far = append(far, m.Addr)
+		}
+	}
+	return near, far
+}
+
+// repair compares positions with a random peer and takes what this node lacks.
+func (f *Follower) repair(ctx context.Context) {
+	for duration.Sleep(ctx, repairInterval/2+rand.N(repairInterval)) {
+		near, far := f.others()
+		if len(near) == 0 || (len(far) > 0 && rand.Float64() < farShare) {
+			near = far
+		}
+		if len(near) > 0 {
+			f.pull(ctx, near[rand.IntN(len(near))])
+		}
+	}
+}
+
+func (f *Follower) pull(ctx context.Context, addr string) {
+	var reply Reply
+	if f.call(ctx, addr, "Pull", &Ask{Next: f.board.View().Next, Age: f.age()}, &reply) != nil {
+		return // another exchange makes up for a loss
+	}
+	f.hear(time.Duration(reply.Age) * time.Millisecond)
+	f.board.Apply(reply.Batch, addr)
+}
+
+// Service answers the exchanges of peers.
+type Service struct{ f *Follower }
+
+// NewService returns the rpc service over f.
+func NewService(f *Follower) *Service { return &Service{f} }
+
+// News takes in what a peer has learnt, if nothing is missing before it.
+func (s *Service) News(n *News, _ *Empty) error {
+	s.f.hear(time.Duration(n.Age) * time.Millisecond)
+	if n.Batch.Whole || n.Before <= s.f.board.View().Next {
+		s.f.board.Apply(n.Batch, "push")
+	}
+	return nil
+}
+
+// Pull answers with what the asker lacks.
+func (s *Service) Pull(a *Ask, reply *Reply) error {
+	s.f.hear(time.Duration(a.Age) * time.Millisecond)
+	reply.Age = s.f.age()
+	if a.Next < s.f.board.View().Next {
+		reply.Batch = s.f.board.After(a.Next)
+	}
+	return nil
+}
+
+// Judges returns the nodes that may decide on a service's rollout, best first: the living
+// ones by rendezvous hash.
+func Judges(service string, members []gossip.Member) []string {
+	var out []string
+	for _, m := range members {
+		if !m.Draining {
+			out = append(out, m.Addr)
+		}
+	}
+	rank := func(addr string) uint64 { return xxhash.Sum64String("judge/" + service + "/" + addr) }
+	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(rank(b), rank(a)) })
+	return out
+}
--- a/internal/proxy/crashed.go
+++ b/internal/proxy/crashed.go
@@ -104,6 +104,9 @@
 var volatile = map[string]bool{KeyHeader: true, "Traceparent": true, "Tracestate": true, "X-Request-Id": true,
 	"X-Correlation-Id": true, "X-Forwarded-For": true}
 
+// Fingerprint identifies a request across resends; see fingerprint.
+func Fingerprint(req *Request) uint64 { return fingerprint(req) }
+
 // fingerprint identifies a request across resends and callers' connections. The
 // order of its fields does not count.
 func fingerprint(req *Request) uint64 {
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -175,17 +175,23 @@
 const answerMargin = 10 * time.Millisecond
 
 func (e *Entry) remote(ctx context.Context, addr string, r *Request) *Answer {
+	return CallOwner(ctx, e.peers, addr, r)
+}
+
+// CallOwner sends r to the owner at addr and returns its answer, or what is known without
+// one. When ctx ends first the owner is told to cancel.
+func CallOwner(ctx context.Context, peers Caller, addr string, r *Request) *Answer {
 	if d, ok := ctx.Deadline(); ok {
 		left := time.Until(d)
 		r.Timeout = left - min(answerMargin, left/10)
 	}
 	var a Answer
-	err := e.peers.Call(ctx, addr, "Proxy.Call", r, &a)
+	err := peers.Call(ctx, addr, "Proxy.Call", r, &a)
 	if err == nil {
 		return &a
 	}
 	if ctx.Err() != nil && !errors.Is(err, peer.ErrNotSent) {
-		go e.cancel(addr, r)
+		go cancel(peers, addr, r)
 	}
 	return lostAnswer(ctx, err)
 }
@@ -209,8 +215,8 @@
 	}
 }
 
-func (e *Entry) cancel(addr string, r *Request) {
+func cancel(peers Caller, addr string, r *Request) {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 	defer stop()
-	_ = e.peers.Call(ctx, addr, "Proxy.Cancel", &Cancel{r.Entry, r.ID}, &Empty{}) // the owner's deadline ends it anyway
+	_ = peers.Call(ctx, addr, "Proxy.Cancel", &Cancel{r.Entry, r.ID}, &Empty{}) // the owner's deadline ends it anyway
 }
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -43,6 +43,18 @@
 	Hop Hop `msgpack:"o"`
 	// Timeout is what was left of the deadline when the message was written: clocks of hosts differ.
 	Timeout time.Duration `msgpack:"t"`
+
+	// Host is the authority that the caller named, RequestID the caller's name of this attempt and
+	// Caller the service on whose host it came in.
+	Host      string `msgpack:"a"`
+	RequestID string `msgpack:"q"`
+	Caller    string `msgpack:"c"`
+	// Rank orders requests where room is short; the lowest goes first.
+	Rank int `msgpack:"j"`
+	// Target is what is left of the time within which the answer is worth most.
+	Target time.Duration `msgpack:"g"`
+	// Patient requests have no better place to go: they may wait as long as their deadline allows.
+	Patient bool `msgpack:"x"`
 }
 
 // Reason says why a call was refused or failed.
@@ -77,9 +89,15 @@
 	// ReasonTooDeep refuses a call that is nested too deep, which is most likely a loop.
 	ReasonTooDeep Reason = "too-deep"
 	// ReasonZoneOut means that operators have taken the owner's availability zone out.
-	ReasonZoneOut    Reason = "zone-out"
-	ReasonVetoed     Reason = "version-vetoed"
-	ReasonCancelled  Reason = "cancelled"
+	ReasonZoneOut   Reason = "zone-out"
+	ReasonVetoed    Reason = "version-vetoed"
+	ReasonCancelled Reason = "cancelled"
+	// ReasonTooLate means that the deadline would pass before an upstream has room.
+	ReasonTooLate Reason = "no-room-in-time"
+	// ReasonDown means that the owner's upstream accepts no connections.
+	ReasonDown Reason = "upstream-down"
+	// ReasonSpoiled means that the upstream's answer was not whole or not its own.
+	ReasonSpoiled    Reason = "answer-spoiled"
 	ReasonBadRequest Reason = "bad-request"
 )
 
@@ -99,6 +117,10 @@
 	Load Load `msgpack:"l"`
 	// Replayed means that this is the kept answer of an earlier request with the same key.
 	Replayed bool `msgpack:"y"`
+	// Took is how long the upstream worked on the request.
+	Took time.Duration `msgpack:"t"`
+	// RetryAfter is when room is expected, with a refusal for want of it.
+	RetryAfter time.Duration `msgpack:"a"`
 }
 
 // Load is what an owner says of its upstream with each answer.
@@ -109,7 +131,12 @@
 	// Limit is the slots that may be used now; below the announced slots while the upstream is cold.
 	Limit    int  `msgpack:"n"`
 	Draining bool `msgpack:"d"`
+	// Pace is the mean time that the upstream takes for a request at present.
+	Pace time.Duration `msgpack:"p"`
 }
 
+// Refusal is an answer that no upstream gave.
+func Refusal(v verdict.Verdict, r Reason) *Answer { return refusal(v, r) }
+
 // refusal is an answer that no upstream gave.
 func refusal(v verdict.Verdict, r Reason) *Answer { return &Answer{Verdict: v, Reason: r} }
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -73,14 +73,13 @@
 	events   *events.Recorder
 	barred   func() Reason
 
-	current  atomic.Pointer[upstreamState]
-	inflight inflight
+	current atomic.Pointer[upstreamState]
 }
 
 // NewOwner returns an owner without an upstream. claims and observer may be nil.
 func NewOwner(gate *admission.Gate, dialer upstream.Dialer, maxConns, maxBody int, claims Claims, observer Observer) *Owner {
 	return &Owner{gate: gate, dialer: dialer, maxConns: maxConns, maxBody: maxBody, claims: claims, observer: observer,
-		barred: func() Reason { return ReasonNone }, inflight: newInflight()}
+		barred: func() Reason { return ReasonNone }}
 }
 
 // Guard sets what crashes are reported to. Call it before the owner serves.
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -57,22 +57,30 @@
 	}
 }
 
+// Runner runs requests at the upstream of its host.
+type Runner interface {
+	Handle(ctx context.Context, req *Request) *Answer
+}
+
 // Service answers entry nodes.
 type Service struct {
-	ctx   context.Context
-	owner *Owner
+	ctx      context.Context
+	owner    Runner
+	inflight inflight
 }
 
 // NewService returns the rpc service over owner; ctx ends with the process.
-func NewService(ctx context.Context, owner *Owner) *Service { return &Service{ctx, owner} }
+func NewService(ctx context.Context, owner Runner) *Service {
+	return &Service{ctx, owner, newInflight()}
+}
 
 // Call is the rpc method behind which the owner answers entry nodes.
 func (s *Service) Call(req *Request, reply *Answer) error {
 	ctx, cancel := context.WithTimeout(s.ctx, req.Timeout)
 	defer cancel()
 	id := callID{req.Entry, req.ID}
-	s.owner.inflight.add(id, cancel)
-	defer s.owner.inflight.remove(id)
+	s.inflight.add(id, cancel)
+	defer s.inflight.remove(id)
 	*reply = *fitFrame(s.owner.Handle(ctx, req))
 	return nil
 }
@@ -106,6 +114,6 @@
 
 // Cancel ends a call in flight; an unknown one is ignored.
 func (s *Service) Cancel(c *Cancel, _ *Empty) error {
-	s.owner.inflight.cancel(callID{c.Entry, c.ID})
+	s.inflight.cancel(callID{c.Entry, c.ID})
 	return nil
 }
--- /dev/null
+++ b/internal/sidecar/life.go
@@ -0,0 +1,127 @@
+package sidecar
+
+import (
+	"context"
+	"sync/atomic"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"celerybank/internal/events"
+	"celerybank/internal/gossip"
+)
+
+// lifecycle is what the node knows of its own start, stops and sleeps.
+type lifecycle struct {
+	draining atomic.Bool
+	// doubt is until when the node trusts nothing that it believes of others, in unix nanoseconds
+	// of the monotonic clock's wall equivalent; 0 when it does.
+	doubt atomic.Int64
+}
+
+func (l *lifecycle) trusts() bool { return time.Now().UnixNano() >= l.doubt.Load() }
+
+// Times of a planned stop.
+const (
+	// readyMisses is how long callers may still come after the node has said that it is not
+	// ready: two checks, one a second, and their answers.
+	readyMisses = 2300 * time.Millisecond
+	// drainPoll is the time between two looks at the requests in flight.
+	drainPoll = 20 * time.Millisecond
+	// graceMargin is the part of the grace period after which the node ends with requests in flight.
+	graceMargin = 0.95
+)
+
+// ready reports whether callers may send requests to this node.
+func (n *Node) ready() bool {
+	select {
+	case <-n.follower.Ready():
+		return !n.life.draining.Load() && n.life.trusts()
+	default:
+		return false
+	}
+}
+
+// drain tells callers and nodes that this node goes, and waits until nothing is in flight.
+func (n *Node) drain() {
+	start := time.Now()
+	n.events.Emit(events.Draining, events.Fields{"inflight": n.ingress.Inflight(), "running": n.gate.Running()})
+	n.life.draining.Store(true)
+	n.members.Update(func(m *gossip.Member) { m.Draining = true })
+	limit := time.Duration(graceMargin * float64(n.settings.Bounds.Grace))
+	for closed := false; time.Since(start) < limit; time.Sleep(drainPoll) {
+		if time.Since(start) < readyMisses {
+			continue
+		}
+		if !closed {
+			n.ingress.Drain()
+			closed = true
+		}
+		if n.ingress.Inflight() == 0 && n.gate.Running() == 0 {
+			break
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	n.members.Leave(ctx)
+	n.events.Emit(events.Stopped, events.Fields{"cut": n.ingress.Inflight() + int64(n.gate.Running())})
+}
+
+// leaveTimeout bounds the message by which a node leaves.
+const leaveTimeout = 200 * time.Millisecond
+
+// Sleeps of the process.
+const (
+	// sleepLimit is the least time without the processor after which beliefs count as old: it
+	// is longer than a late timer on a busy host.
+	sleepLimit = 700 * time.Millisecond
+	// wakeDoubt is how long a node that has slept serves nothing: one exchange with a peer.
+	wakeDoubt = 300 * time.Millisecond
+	// restInterval is the time between checks of what expires.
+	restInterval = 500 * time.Millisecond
+)
+
+// housekeeping expires leases and finds out when the process has slept: the clock that counts
+// suspended time has then run ahead of the steady one.
+func (n *Node) housekeeping(ctx context.Context) error {
+	tick := time.NewTicker(housekeepingInterval)
+	defer tick.Stop()
+	last, rest := bootTime(), time.Now()
+	steady := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		boot, now := bootTime(), time.Now()
+		if slept := (boot - last) - now.Sub(steady); slept > sleepLimit {
+			n.woke(slept)
+		}
+		last, steady = boot, now
+		if now.Sub(rest) >= restInterval {
+			rest = now
+			n.registry.Expire()
+			n.crashes.Expire()
+		}
+	}
+}
+
+// woke drops what may have become false while the process stood still.
+func (n *Node) woke(slept time.Duration) {
+	n.life.doubt.Store(time.Now().Add(wakeDoubt).UnixNano())
+	n.events.Emit(events.Woken, events.Fields{"slept_ms": slept.Milliseconds()})
+	n.registry.Forget()
+}
+
+// clockBoottime is CLOCK_BOOTTIME of clock_gettime(2).
+const clockBoottime = 7
+
+// bootTime reads the clock that counts suspended time.
+func bootTime() time.Duration {
+	var ts syscall.Timespec
+	if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, clockBoottime, uintptr(unsafe.Pointer(&ts)), 0); errno != 0 {
+		return 0 // without the clock a sleep shows by the time of day alone
+	}
+	return time.Duration(ts.Nano())
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -27,15 +27,43 @@
 	NotExecutedHeader = "X-Not-Executed"
 )
 
+// Dialect says how the upstream marks its answers.
+type Dialect struct {
+	// NotExecuted reports whether an answer says that the request was not run.
+	NotExecuted func(*fasthttp.Response) bool
+	// Answers reports whether an answer belongs to the request; nil takes every answer. One that
+	// does not is late from an earlier exchange and is dropped.
+	Answers func(*fasthttp.Request, *fasthttp.Response) bool
+}
+
+// ownDialect is the product's own interface.
+var ownDialect = Dialect{NotExecuted: func(resp *fasthttp.Response) bool { return len(resp.Header.Peek(NotExecutedHeader)) > 0 }}
+
+// maxForeign bounds the late answers of earlier exchanges that are dropped before one that belongs.
+const maxForeign = 2
+
+// ErrForeign reports a connection that delivers answers to other requests.
+var ErrForeign = errors.New("answer to another request")
+
 // ErrTooLarge reports an answer over the size limit, in its head or in its body.
 var ErrTooLarge = errors.New("answer over the size limit")
 
 // dialTimeout bounds the opening of a connection on the own host.
 const dialTimeout = 500 * time.Millisecond
 
+// FreshIdle bounds the idle time of a connection for a request that must not meet one that
+// the upstream has forgotten: a request that may run once only is lost to it.
+const FreshIdle = 2 * time.Second
+
+// freshOnly marks a context whose request takes recently used connections only.
+type freshOnly struct{}
+
+// WithFresh returns a context whose request takes only connections idle for less than FreshIdle.
+func WithFresh(ctx context.Context) context.Context { return context.WithValue(ctx, freshOnly{}, true) }
+
 // maxIdle bounds how long a kept connection may have been idle, so that a request
 // rarely meets one that the upstream is about to close, or that has gone silent.
-const maxIdle = 10 * time.Second
+const maxIdle = 8 * time.Second
 
 // Buffers of a connection, in bytes; the head of an answer must fit into readBuffer.
 const (
@@ -50,6 +78,7 @@
 	dialer  Dialer
 	maxBody int
 	slots   chan struct{}
+	dialect Dialect
 	// onRestart is called when the upstream closed all its connections at once.
 	onRestart func()
 
@@ -73,7 +102,13 @@
 	if onRestart == nil {
 		onRestart = func() {}
 	}
-	return &Client{addr: addr, dialer: dialer, maxBody: maxBody, slots: make(chan struct{}, maxConns), onRestart: onRestart}
+	return &Client{addr: addr, dialer: dialer, maxBody: maxBody, slots: make(chan struct{}, maxConns), dialect: ownDialect, onRestart: onRestart}
+}
+
+// Speak sets how the upstream marks its answers, and returns the client. Call it before the first Do.
+func (c *Client) Speak(d Dialect) *Client {
+	c.dialect = d
+	return c
 }
 
 // Do sends req once and reads the whole answer into resp. It waits while all
@@ -125,25 +160,47 @@
 	if err := conn.w.Flush(); err != nil {
 		return verdict.MayHaveRun, err
 	}
-	resp.SkipBody = req.Header.IsHead()
-	if err := resp.ReadLimitBody(conn.r, c.maxBody); err != nil {
-		var small *fasthttp.ErrSmallBuffer
-		if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small) {
-			return verdict.Ran, ErrTooLarge
+	for range 1 + maxForeign {
+		if v, err := c.readAnswer(conn, req, resp); err != nil {
+			return v, err
 		}
-		return verdict.MayHaveRun, err
+		if c.dialect.Answers == nil || c.dialect.Answers(req, resp) {
+			if c.dialect.NotExecuted(resp) {
+				return verdict.NotRun, nil
+			}
+			return verdict.Ran, nil
+		}
+		resp.Reset()
 	}
-	if len(resp.Header.Peek(NotExecutedHeader)) > 0 {
-		return verdict.NotRun, nil
+	return verdict.MayHaveRun, ErrForeign
+}
+
+// readAnswer reads one answer whole.
+func (c *Client) readAnswer(conn *clientConn, req *fasthttp.Request, resp *fasthttp.Response) (verdict.Verdict, error) {
+	resp.SkipBody = req.Header.IsHead()
+	err := resp.ReadLimitBody(conn.r, c.maxBody)
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &small):
+		return verdict.Ran, ErrTooLarge
+	case err != nil:
+		return verdict.MayHaveRun, err
 	}
 	return verdict.Ran, nil
 }
 
 // take returns an idle connection that is still open, else a new one.
 func (c *Client) take(ctx context.Context) (*clientConn, error) {
+	limit := maxIdle
+	if ctx.Value(freshOnly{}) != nil {
+		limit = FreshIdle
+	}
 	for conn := c.pop(); conn != nil; conn = c.pop() {
 		idle := time.Since(conn.since)
 		switch {
+		case idle >= limit && limit < maxIdle && idle < maxIdle:
+			c.putBack(conn) // the newest one is too old for this request, and so are all others
+			return c.connect(ctx)
 		case idle >= maxIdle:
 			c.discard(conn)
 		case !isOpen(conn):
@@ -152,6 +209,18 @@
 			return conn, nil
 		}
 	}
+	return c.connect(ctx)
+}
+
+// putBack returns an idle connection as it was.
+func (c *Client) putBack(conn *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = append(c.idle, conn)
+}
+
+// connect opens a new connection.
+func (c *Client) connect(ctx context.Context) (*clientConn, error) {
 	raw, err := c.dial(ctx)
 	if err != nil {
 		return nil, err
