--- /dev/null
+++ b/internal/canary/assess.go
@@ -0,0 +1,153 @@
+package canary
+
+import (
+	"fmt"
+	"time"
+)
+
+// tally has the evidence of one version by route, summed over its upstreams.
+type tally map[string]*RouteEvidence
+
+func (t tally) add(e RouteEvidence) {
+	if t[e.Route] == nil {
+		t[e.Route] = &RouteEvidence{Route: e.Route}
+	}
+	t[e.Route].Recent.add(e.Recent)
+	t[e.Route].All.add(e.All)
+}
+
+func (t tally) route(name string) RouteEvidence {
+	if e := t[name]; e != nil {
+		return *e
+	}
+	return RouteEvidence{}
+}
+
+// answered is how many requests the version answered since the rollout began.
+func (t tally) answered() (n uint64) {
+	for _, e := range t {
+		n += e.All.Total
+	}
+	return n
+}
+
+// Bounds of the verdict on a version. A bad one fails a third of a route's requests or more,
+// or takes several times as long.
+const (
+	// badFailures and badPart are the least number and part of failures that count, beyond
+	// twice the part that the old version fails at the same time.
+	badFailures = 4
+	badPart     = 0.12
+	// slowAnswers is the least number of answers by which a route is called slow, slowFactor how
+	// much slower than the old version's it then is in the mean.
+	slowAnswers = 6
+	slowFactor  = 2.5
+	// slowFloor is a difference in milliseconds below which nothing is called slow.
+	slowFloor = 40
+)
+
+// assess says why the new version is bad; empty when nothing shows that it is.
+func assess(old, next tally) string {
+	for name, e := range next {
+		o := old.route(name)
+		for _, w := range []struct{ old, next Counts }{{o.Recent, e.Recent}, {o.All, e.All}} {
+			if reason := compare(w.old, w.next); reason != "" {
+				return "route " + name + ": " + reason
+			}
+		}
+	}
+	return ""
+}
+
+func compare(old, next Counts) string {
+	if part := next.failedPart(); next.Failed >= badFailures && part > badPart+2*old.failedPart() {
+		return fmt.Sprintf("%d of %d failed, of the old version %d of %d", next.Failed, next.Total, old.Failed, old.Total)
+	}
+	if next.Total >= slowAnswers && old.Total >= slowAnswers && next.mean() > slowFactor*old.mean()+slowFloor {
+		return fmt.Sprintf("%d answers took %.0f ms in the mean, of the old version %.0f ms", next.Total, next.mean(), old.mean())
+	}
+	return ""
+}
+
+// step is one share of the traffic on the way of a new version.
+type step struct {
+	// share of the requests that goes to the new version.
+	share float64
+	// until is the part of the rollout's duration up to which the share stays at least.
+	until float64
+	// answers of the new version that must have been seen before the next step.
+	answers uint64
+}
+
+// steps lead a version from its first requests to all of them within most of its time. The first
+// share is half of what a bad version may get, and is held for so long that a fault that shows
+// late still falls into it; the later ones are short, as a fault then shows within a second.
+var steps = []step{
+	{share: 0.05, until: 0.42, answers: 20},
+	{share: 0.25, until: 0.52, answers: 40},
+	{share: 0.55, until: 0.62, answers: 80},
+	{share: 1, until: 0.74, answers: 120},
+}
+
+// finishBy is the part of the duration by which the outcome has to be decided: writing it takes
+// a second at most with a slow store.
+const finishBy = 0.9
+
+// decision is what a judge does next.
+type decision struct {
+	step int
+	// done says that the new version has taken over.
+	done bool
+	// reason is set when the version is taken back.
+	reason string
+}
+
+// decide looks at a rollout that has run for elapsed of duration and stands at a step.
+// held is how long it has stood there; oldBusy counts requests at upstreams of other versions.
+func decide(old, next tally, at int, elapsed, held, duration time.Duration, upstreams, oldBusy int) decision {
+	if reason := assess(old, next); reason != "" {
+		return decision{step: at, reason: reason}
+	}
+	part := float64(elapsed) / float64(duration)
+	if at < 0 {
+		if upstreams > 0 {
+			return decision{step: 0}
+		}
+		return late(at, part, next, "no upstream of the version")
+	}
+	s := steps[at]
+	if part < s.until || held < minHeld || next.answered() < s.answers {
+		return late(at, part, next, fmt.Sprintf("%d answers at share %.2f", next.answered(), s.share))
+	}
+	if at == len(steps)-1 {
+		return decision{step: at, done: oldBusy == 0 || part > finishBy}
+	}
+	return decision{step: at + 1}
+}
+
+// minHeld is the least time at a step: news of it reaches every node, and answers come back.
+const minHeld = 700 * time.Millisecond
+
+// leastEvidence is how many answers a version must have given to take over for want of time.
+const leastEvidence = 12
+
+// late ends a rollout whose time is nearly over: with enough good answers it goes on faster,
+// else it is taken back.
+func late(at int, part float64, next tally, reason string) decision {
+	switch {
+	case part < finishBy-float64(len(steps)-1-at)*hurry:
+		return decision{step: at}
+	case next.answered() < leastEvidence:
+		if part < finishBy {
+			return decision{step: at}
+		}
+		return decision{step: at, reason: "not done in time: " + reason}
+	case at == len(steps)-1:
+		return decision{step: at, done: part >= finishBy}
+	default:
+		return decision{step: at + 1}
+	}
+}
+
+// hurry is the part of the duration that each step left needs when time runs out.
+const hurry = 0.06
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -212,7 +212,8 @@
 	if a.Verdict == verdict.MayHaveRun {
 		at.open = true
 	}
-	failed := a.Verdict == verdict.Ran && a.Status >= fasthttp.StatusInternalServerError && at.route.Idempotent
+	// A timeout of the upstream's own leaves no time for another.
+	failed := a.Verdict == verdict.Ran && a.Status >= fasthttp.StatusInternalServerError && a.Status != fasthttp.StatusGatewayTimeout && at.route.Idempotent
 	switch {
 	case a.Verdict == verdict.Ran && !failed, a.Verdict == verdict.MayHaveRun && !at.route.Idempotent:
 		return false
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -79,9 +79,9 @@
 	n.balancer = balance.New(s.Zone)
 	n.members.Subscribe(n.balancer.Update)
 	n.crashes = crash.New(n.members, ev)
-	n.canaries = canary.New(canary.Config{Addr: s.Peers, Members: n.members, Peers: n.pool, View: n.board.View, Statuses: platform.NewStatuses(store), Events: ev,
-		Share: s.Bounds.CanaryShare, Slack: s.Bounds.CanarySlack})
 	n.gate = delivery.NewGate()
+	n.canaries = canary.New(canary.Config{Addr: s.Peers, Members: n.members, Peers: n.pool, View: n.board.View, Statuses: platform.NewStatuses(store), Events: ev,
+		Running: n.gate.Running, Share: s.Bounds.CanaryShare, Slack: s.Bounds.CanarySlack})
 	n.owner = delivery.New(ctx, delivery.Config{Gate: n.gate, Dialer: network, Wire: platform.Wire{}, Table: n.table, Barred: n.barred,
 		Crashes: n.crashes, Observer: n.canaries, Events: ev})
 	n.registry = registry.New(s.Service, s.Upstream, s.AnnounceInterval, ev, n.upstreamChanged)
