--- a/cmd/celerysidecar/main.go
+++ b/cmd/celerysidecar/main.go
@@ -53,5 +53,7 @@
 		network.From = ap.Addr().AsSlice()
 	}
 	stop, _ := command.Signals()
-	return sidecar.New(stop, s, network, ev).Run(stop)
+	n := sidecar.New(stop, s, network, ev)
+	go n.Reload(stop, path)
+	return n.Run(stop)
 }
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -7,7 +7,10 @@
 
 // budgetShare is the part of the fleet's retry budget that nodes use: windows slide and
 // nodes do not see each other's repeats.
-const budgetShare = 0.5
+const budgetShare = 0.4
+
+// ranCost is what the repeat of a request costs that ran before: itself and up to two calls.
+const ranCost = 2.5
 
 // Budget bounds the repeats of one node so that those of all nodes together stay within
 // the platform's bound, by arithmetic alone: each node earns a part of a repeat with each
@@ -29,6 +32,13 @@
 	filled time.Time
 }
 
+// Set changes the platform's bound.
+func (b *Budget) Set(ratio, slack float64, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Ratio, b.Slack, b.Window = ratio, slack, window
+}
+
 // of returns the tokens of a service, filled up to now. b.mu is held.
 func (b *Budget) of(service string) *tokens {
 	if b.services == nil {
@@ -43,7 +53,7 @@
 	}
 	t.have += slack * float64(now.Sub(t.filled)) / float64(b.Window)
 	t.filled = now
-	t.have = min(t.have, max(slack, 2))
+	t.have = min(t.have, max(slack, 3))
 	return t
 }
 
@@ -54,14 +64,19 @@
 	b.of(service).have += budgetShare * b.Ratio
 }
 
-// Spend pays for one repeat, or reports that there is nothing left.
-func (b *Budget) Spend(service string) bool {
+// Spend pays for one repeat, or reports that there is not enough left. A repeat of a request
+// that has run costs more, as it repeats the calls that the first made.
+func (b *Budget) Spend(service string, ran bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	cost := 1.0
+	if ran {
+		cost = ranCost
+	}
 	t := b.of(service)
-	if t.have < 1 {
+	if t.have < cost {
 		return false
 	}
-	t.have--
+	t.have -= cost
 	return true
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -221,7 +221,7 @@
 		return false
 	case at.reached >= at.route.Attempts:
 		return false
-	case at.reached > 0 && !d.Budget.Spend(at.req.Service):
+	case at.reached > 0 && !d.Budget.Spend(at.req.Service, a.Verdict != verdict.NotRun):
 		return false
 	}
 	if at.reached > 0 {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,6 +36,8 @@
 	pool     *peer.Pool
 	server   *peer.Server
 	members  *gossip.Members
+	store    *platform.Client
+	budget   *dispatch.Budget
 	hosts    Hosts
 	board    *orders.Board
 	follower *orders.Follower
@@ -67,28 +69,28 @@
 // New wires the duties together; nothing runs yet. ctx ends with the process.
 func New(ctx context.Context, s platform.Settings, network peer.Network, ev *events.Recorder) *Node {
 	n := &Node{settings: s, network: network, events: ev}
-	store := platform.NewClient(s.Store.Address, network.Dial)
-	operator := platform.NewOperator(store)
+	n.store = platform.NewClient(s.Store.Address, network.Dial)
+	operator := platform.NewOperator(n.store)
 	n.pool = peer.NewPool(network, ev, nil)
 	n.server = peer.NewServer(ev, nil)
 	n.members = gossip.New(gossip.Config{Self: gossip.Member{Addr: s.Peers, Name: s.Name, Zone: s.Zone, Region: s.Region},
 		Peers: n.pool, Events: ev, BytesPerSecond: controlBytes})
-	n.hosts = platform.NewHosts(store)
+	n.hosts = platform.NewHosts(n.store)
 	n.board = orders.NewBoard(operator, ev)
 	n.follower = orders.NewFollower(n.board, operator, n.pool, n.members, ev)
 	n.balancer = balance.New(s.Zone)
 	n.members.Subscribe(n.balancer.Update)
 	n.crashes = crash.New(n.members, ev)
 	n.gate = delivery.NewGate()
-	n.canaries = canary.New(canary.Config{Addr: s.Peers, Members: n.members, Peers: n.pool, View: n.board.View, Statuses: platform.NewStatuses(store), Events: ev,
+	n.canaries = canary.New(canary.Config{Addr: s.Peers, Members: n.members, Peers: n.pool, View: n.board.View, Statuses: platform.NewStatuses(n.store), Events: ev,
 		Running: n.gate.Running, Share: s.Bounds.CanaryShare, Slack: s.Bounds.CanarySlack})
 	n.owner = delivery.New(ctx, delivery.Config{Gate: n.gate, Dialer: network, Wire: platform.Wire{}, Table: n.table, Barred: n.barred,
 		Crashes: n.crashes, Observer: n.canaries, Events: ev})
 	n.registry = registry.New(s.Service, s.Upstream, s.AnnounceInterval, ev, n.upstreamChanged)
 	n.board.Subscribe(n.ordersChanged)
+	n.budget = &dispatch.Budget{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Nodes: n.living}
 	n.dispatch = dispatch.New(dispatch.Config{Addr: s.Peers, View: n.board.View, Balancer: n.balancer, Owner: n.owner, Peers: n.pool,
-		Budget:  &dispatch.Budget{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Nodes: n.living},
-		Crashes: n.crashes, Canaries: n.canaries, Events: ev, Trusts: n.life.trusts})
+		Budget: n.budget, Crashes: n.crashes, Canaries: n.canaries, Events: ev, Trusts: n.life.trusts})
 	n.ingress = ingress.New(ingress.Config{Handler: n, Limits: n.limits, Local: host(s.Callers), BodyBytes: maxBody,
 		AllBodies: int64(bodyShare * float64(s.MemoryBytes))})
 	n.metrics = newCallMetrics(n)
@@ -204,10 +206,18 @@
 	_ = callers.Close()
 	n.ingress.Close()
 	n.pool.Close()
-	wg.Wait()
+	ended := make(chan struct{})
+	go func() { wg.Wait(); close(ended) }()
+	select {
+	case <-ended:
+	case <-time.After(endTimeout): // a read of the store that waits for news has nothing to lose
+	}
 	return nil
 }
 
+// endTimeout bounds the wait for tasks after the drain.
+const endTimeout = 100 * time.Millisecond
+
 func (n *Node) invalidAnnouncement(instance string, err error) {
 	n.events.Emit(events.AnnounceInvalid, events.Fields{"instance": instance, "reason": err.Error()})
 }
