--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -19,8 +19,7 @@
 // until its next start. A file with a fault changes nothing.
 func (n *Node) Reload(ctx context.Context, path string) {
 	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	signal.Notify(hup, syscall.SIGHUP) // for good: a SIGHUP in the drain must not end the process
 	tick := time.NewTicker(settingsInterval)
 	defer tick.Stop()
 	last := modified(path)
