Rank calls of running requests first; doubt a zone as a whole; more for a cold upstream

Change: a call is known by its name, which begins with that of the request that the upstream runs; two silent hosts put their zone in doubt for a second; 1.2 of the cold rate. Ruled out: a shorter heartbeat between nodes (300 ms): a write may block 400 ms before it (TestStuckWriteIsBounded hung); reverted.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -17,6 +17,7 @@
 	mu       sync.Mutex
 	byAddr   map[string]*Endpoint
 	services sync.Map // name to *group
+	zones    zones
 }
 
 // group is the upstreams of one service and the usual work times of its routes.
@@ -67,6 +68,7 @@
 	serves := (m.Status == gossip.Alive || m.Status == gossip.Suspect) && !m.Draining && u.Service != ""
 	if serves && old != nil && old.Instance == u.Instance && old.Since == u.Since && old.Service == u.Service &&
 		old.Version == u.Version && old.Slots == u.Slots && old.Zone == m.Zone {
+		old.suspect(m.Status == gossip.Suspect)
 		return
 	}
 	if old != nil {
@@ -168,6 +170,7 @@
 			continue
 		}
 		s := e.state(now)
+		s.shunned = s.shunned || (e.Zone != b.zone && b.zones.doubted(e.Zone, now))
 		if cost := b.cost(e, s, usual, a.Target); best == nil || cost < least {
 			best, least, room = e, cost, s.wait == 0 && !s.shunned
 		}
@@ -175,6 +178,18 @@
 	return best, room
 }
 
+// Unreachable takes in that the owner of e, or its upstream, cannot be reached; silent says
+// that the owner's host did not answer. It returns how long e is the last choice.
+func (b *Balancer) Unreachable(e *Endpoint, silent bool, now time.Time) time.Duration {
+	if silent {
+		b.zones.silent(e.Zone, e.Addr, now)
+	}
+	return e.Unreachable(now)
+}
+
+// Reached takes in that the owner of e answered.
+func (b *Balancer) Reached(e *Endpoint) { b.zones.answered(e.Zone) }
+
 // cost is the expected loss of sending a request to e.
 func (b *Balancer) cost(e *Endpoint, s state, usual, target time.Duration) float64 {
 	latency := float64(usual)*s.speed + float64(s.wait)
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -33,6 +33,8 @@
 	// shunned is until when it is the last choice, after failures in a row.
 	shunned  time.Time
 	failures int
+	// doubtful is set while the membership doubts that the host lives.
+	doubtful bool
 }
 
 // Constants of the estimates.
@@ -118,6 +120,13 @@
 	return d
 }
 
+// suspect notes whether the membership doubts that the host lives.
+func (e *Endpoint) suspect(v bool) {
+	e.mu.Lock()
+	e.doubtful = v
+	e.mu.Unlock()
+}
+
 // fadeTo lets what is known grow old. e.mu is held.
 func (e *Endpoint) fadeTo(now time.Time) {
 	if !e.learnt.IsZero() {
@@ -148,7 +157,7 @@
 		inUse -= float64(old) / float64(e.pace) * float64(e.limit)
 	}
 	inUse = max(inUse, float64(e.inflight))
-	s := state{speed: e.speed, errors: e.errors, use: inUse / float64(e.limit), shunned: now.Before(e.shunned)}
+	s := state{speed: e.speed, errors: e.errors, use: inUse / float64(e.limit), shunned: e.doubtful || now.Before(e.shunned)}
 	if over := inUse + 1 - float64(e.limit); over > 0 {
 		s.wait = time.Duration(over * float64(e.pace) / float64(e.limit))
 	}
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,8 +66,10 @@
 	observer Observer
 	events   *events.Recorder
 
+	running running
+
 	mu sync.Mutex
-	// quarantined until then: the zone came back and the upstream may be cold without having said so.
+	// doubtUntil is until when the upstream counts as cold because its zone came back: it may be so without having said it.
 	doubtUntil time.Time
 	up         atomic.Pointer[current]
 	life       context.Context
@@ -210,11 +213,24 @@
 		o.gate.Release(0)
 		return proxy.Refusal(verdict.NotRun, bar)
 	}
+	o.running.add(req)
 	a := o.send(ctx, up, req)
+	o.running.remove(req)
 	o.gate.Release(a.Took)
 	return a
 }
 
+// Parent says whether the request named id is a call that the upstream of this host makes for
+// one that it runs now, and whether that one is a repeat. Upstreams put the name of the
+// request that they run before that of the call.
+func (o *Owner) Parent(id string) (calls, repeat bool) {
+	i := strings.LastIndexByte(id, '.')
+	if i <= 0 {
+		return false, false
+	}
+	return o.running.find(id[:i])
+}
+
 // send is the only place where a request leaves for the upstream.
 func (o *Owner) send(ctx context.Context, up *current, req *proxy.Request) *proxy.Answer {
 	hr, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/internal/delivery/pacer.go
+++ b/internal/delivery/pacer.go
@@ -5,8 +5,9 @@
 // coldWindow is the span in which a cold upstream bears a number of requests.
 const coldWindow = time.Second
 
-// coldShare is the part of that number that is sent: arrivals of two seconds may meet in one.
-const coldShare = 0.9
+// coldShare is what is sent of that number: the platform bears 1.5 times of it and a few more,
+// and what is sent in two seconds may arrive in one.
+const coldShare = 1.2
 
 // pacer spaces the requests to a cold upstream: it keeps the exact times of the last ones
 // (a sliding window log, "Rate limiting with Redis", C. O'Hara 2011), few as they are.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -25,13 +25,21 @@
 	Choose(service string) func(version string) bool
 }
 
+// Owner speaks for the upstream of this host.
+type Owner interface {
+	proxy.Runner
+	// Parent says whether a request is a call of one that the upstream runs now, and whether
+	// that one is a repeat.
+	Parent(id string) (calls, repeat bool)
+}
+
 // Config has what a dispatcher needs.
 type Config struct {
 	// Addr is the peer address of this node.
 	Addr     string
 	View     func() *orders.View
 	Balancer *balance.Balancer
-	Owner    proxy.Runner
+	Owner    Owner
 	Peers    proxy.Caller
 	Budget   *Budget
 	Crashes  *crash.Registry
@@ -63,9 +71,11 @@
 	leastWork = 0.5
 )
 
-// Call routes one request. Method, URI, Host, Header, Body, RequestID, Caller and, for a
-// request of an upstream on this host, a Rank below zero are set; timeout is what the
-// caller waits, 0 when it does not say.
+// callRank puts calls of running requests before all others: they finish work that is paid for.
+const callRank = -1
+
+// Call routes one request. Method, URI, Host, Header, Body, RequestID and Caller are set;
+// timeout is what the caller waits, 0 when it does not say.
 func (d *Dispatcher) Call(ctx context.Context, req *proxy.Request, path string, timeout time.Duration) *proxy.Answer {
 	view := d.View()
 	if view.Table == nil || !d.Trusts() {
@@ -82,8 +92,9 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req.Service, req.Route, req.Idempotent = route.Pick(), route.Name, route.Idempotent
-	if req.Rank >= 0 {
-		req.Rank = route.Priority
+	req.Rank = route.Priority
+	if calls, repeat := d.Owner.Parent(req.RequestID); calls {
+		req.Rank, req.Hop.Retry = callRank, repeat
 	}
 	d.Budget.Earn(req.Service)
 	a := d.offer(ctx, view, route, req, time.Now().Add(route.Target))
@@ -158,6 +169,7 @@
 	r := *at.req
 	r.Version, r.Instance, r.Entry, r.ID, r.Patient = e.Version, e.Instance, d.Addr, d.nextID.Add(1), patient
 	r.Target = time.Until(at.target)
+	r.Hop.Retry = r.Hop.Retry || at.reached > 0
 	e.Begin()
 	defer e.End()
 	at.tried = append(at.tried, e)
@@ -177,6 +189,9 @@
 // learn takes in what an answer says of its upstream.
 func (d *Dispatcher) learn(e *balance.Endpoint, r *proxy.Request, a *proxy.Answer) {
 	now := time.Now()
+	if a.Load.Limit > 0 {
+		d.Balancer.Reached(e)
+	}
 	e.Reported(a.Load, now)
 	usual := d.Balancer.Usual(r.Service, r.Route)
 	switch a.Reason {
@@ -197,7 +212,7 @@
 	case proxy.ReasonPeerLost, proxy.ReasonUnreachable, proxy.ReasonDown, proxy.ReasonCrashed, proxy.ReasonNoUpstream,
 		proxy.ReasonMoved, proxy.ReasonDraining, proxy.ReasonVetoed, proxy.ReasonZoneOut:
 		d.Events.Emit(events.EndpointShunned, events.Fields{"request": r.RequestID, "instance": e.Instance, "addr": e.Addr,
-			"reason": a.Reason, "for_ms": e.Unreachable(now).Milliseconds()})
+			"reason": a.Reason, "for_ms": d.Balancer.Unreachable(e, a.Reason == proxy.ReasonPeerLost, now).Milliseconds()})
 		if a.Reason == proxy.ReasonCrashed {
 			d.Crashes.Blame(proxy.Fingerprint(r), e.Instance)
 		}
@@ -221,6 +236,8 @@
 		return false
 	case at.reached >= at.route.Attempts:
 		return false
+	case at.reached > 0 && at.req.Hop.Retry:
+		return false // it belongs to a repeat, which is not multiplied again
 	case at.reached > 0 && !d.Budget.Spend(at.req.Service, a.Verdict != verdict.NotRun):
 		return false
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,10 +17,9 @@
 	"celerybank/internal/routes"
 )
 
-// Handler answers one request; ctx ends when its caller leaves. local says that it came
-// from this host.
+// Handler answers one request; ctx ends when its caller leaves.
 type Handler interface {
-	Serve(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, local bool)
+	Serve(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response)
 }
 
 // Config has what a server needs.
@@ -28,8 +27,6 @@
 	Handler Handler
 	// Limits returns what the configuration in force bounds.
 	Limits func() routes.Limits
-	// Local is the IP of this host.
-	Local string
 	// BodyBytes bounds a body whatever the configuration says, and AllBodies those of all requests together.
 	BodyBytes int
 	AllBodies int64
@@ -131,7 +128,6 @@
 type conn struct {
 	server *Server
 	raw    net.Conn
-	local  bool
 	ctx    context.Context
 	leave  context.CancelFunc
 	// queue has the requests in order; the writer takes their answers when done.
@@ -156,9 +152,6 @@
 
 func (s *Server) newConn(raw net.Conn) *conn {
 	c := &conn{server: s, raw: raw, queue: make(chan *exchange, maxPipelined)}
-	if a, ok := raw.RemoteAddr().(*net.TCPAddr); ok {
-		c.local = a.IP.String() == s.cfg.Local || a.IP.IsLoopback()
-	}
 	c.ctx, c.leave = context.WithCancel(context.Background())
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
@@ -341,7 +334,7 @@
 func (c *conn) serve(x *exchange) {
 	defer c.server.inflight.Add(-1)
 	defer close(x.done)
-	c.server.cfg.Handler.Serve(c.ctx, x.req, x.resp, c.local)
+	c.server.cfg.Handler.Serve(c.ctx, x.req, x.resp)
 }
 
 // write sends the answers in the order of the requests.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -48,7 +48,7 @@
 	checkInterval = 100 * time.Millisecond
 	pingAfter     = 500 * time.Millisecond
 	pingTimeout   = 350 * time.Millisecond
-	dialTimeout   = 500 * time.Millisecond
+	dialTimeout   = 300 * time.Millisecond
 	// idleTimeout closes connections without calls, to bound what a node holds open.
 	idleTimeout = 60 * time.Second
 	// serverIdleTimeout closes accepted connections whose other end is gone.
--- a/internal/sidecar/hosts.go
+++ b/internal/sidecar/hosts.go
@@ -17,10 +17,10 @@
 	List(ctx context.Context, from int64) (addrs []string, next int64, err error)
 }
 
-// Times after the start at which the list of hosts is read. All hosts start within 0.3 s of
-// each other; the later reads find those whose first entry was late, and then only a node
+// Times after the start at which the list of hosts is read. The first read finds the hosts of
+// before; all hosts start within 0.3 s of each other; the later reads find those whose first entry was late, and then only a node
 // that is alone reads on.
-var listTimes = []time.Duration{350 * time.Millisecond, 1500 * time.Millisecond, 6 * time.Second}
+var listTimes = []time.Duration{0, 350 * time.Millisecond, 1500 * time.Millisecond, 6 * time.Second}
 
 // Pauses of the search for peers.
 const (
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -91,7 +91,7 @@
 	n.budget = &dispatch.Budget{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Nodes: n.living}
 	n.dispatch = dispatch.New(dispatch.Config{Addr: s.Peers, View: n.board.View, Balancer: n.balancer, Owner: n.owner, Peers: n.pool,
 		Budget: n.budget, Crashes: n.crashes, Canaries: n.canaries, Events: ev, Trusts: n.life.trusts})
-	n.ingress = ingress.New(ingress.Config{Handler: n, Limits: n.limits, Local: host(s.Callers), BodyBytes: maxBody,
+	n.ingress = ingress.New(ingress.Config{Handler: n, Limits: n.limits, BodyBytes: maxBody,
 		AllBodies: int64(bodyShare * float64(s.MemoryBytes))})
 	n.metrics = newCallMetrics(n)
 	return n
@@ -143,22 +143,15 @@
 }
 
 // Serve answers one request of a caller. It implements ingress.Handler.
-func (n *Node) Serve(ctx context.Context, in *fasthttp.Request, out *fasthttp.Response, local bool) {
+func (n *Node) Serve(ctx context.Context, in *fasthttp.Request, out *fasthttp.Response) {
 	start := time.Now()
 	req, path, timeout := platform.ReadRequest(in)
 	req.Caller = n.settings.Service
-	if local {
-		req.Rank = localRank
-	}
 	a := n.dispatch.Call(ctx, req, path, timeout)
 	n.metrics.observe(a, time.Since(start))
 	platform.WriteAnswer(out, req, a)
 }
 
-// localRank puts calls of the upstream on this host before all others: they finish work
-// that is under way.
-const localRank = -1
-
 // Run serves until ctx ends, then drains.
 func (n *Node) Run(ctx context.Context) error {
 	callers, err := n.network.Listen(n.settings.Callers)
@@ -241,8 +234,3 @@
 type silent struct{}
 
 func (silent) Printf(string, ...any) {}
-
-func host(addr string) string {
-	h, _, _ := net.SplitHostPort(addr)
-	return h
-}
