--- a/cmd/celerybank/main.go
+++ b/cmd/celerybank/main.go
@@ -8,11 +8,11 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"celerybank/internal/command"
-	"celerybank/internal/configlog"
 	"celerybank/internal/events"
 	"celerybank/internal/node"
 	"celerybank/internal/peer"
 	"celerybank/internal/settings"
+	"celerybank/platform"
 )
 
 func main() {
@@ -48,7 +48,7 @@
 	if faults != "" {
 		network = faultControl(faults, network)
 	}
-	log := configlog.NewClient(cfg.Platform.Address, cfg.Platform.Timeout.D()).DialWith(network.Dial)
+	log := platform.NewLog(cfg.Platform.Address, cfg.Platform.Timeout.D(), network.Dial)
 	n := node.New(cfg, log, network, ev)
 	stop, kill := command.Signals()
 	return n.Run(stop, kill)
--- a/cmd/celeryctl/main.go
+++ b/cmd/celeryctl/main.go
@@ -9,8 +9,9 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"celerybank/internal/command"
-	"celerybank/internal/configlog"
 	"celerybank/internal/operator"
+	"celerybank/internal/peer"
+	"celerybank/platform"
 )
 
 // options are the flags that commands share.
@@ -23,7 +24,7 @@
 }
 
 func (o *options) console() *operator.Console {
-	return operator.NewConsole(configlog.NewClient(o.platform, o.timeout), o.author)
+	return operator.NewConsole(platform.NewLog(o.platform, o.timeout, peer.TCP{}.Dial), o.author)
 }
 
 func (o *options) fleet() *operator.Fleet { return operator.NewFleet(o.nodes) }
--- a/cmd/celeryload/converge.go
+++ b/cmd/celeryload/converge.go
@@ -9,10 +9,11 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/go-faster/errors"
 
-	"celerybank/internal/configlog"
 	"celerybank/internal/events"
 	"celerybank/internal/node"
 	"celerybank/internal/operator"
+	"celerybank/internal/peer"
+	"celerybank/platform"
 )
 
 // convergeOptions are the flags of the converge command.
@@ -41,7 +42,7 @@
 }
 
 func (o *convergeOptions) run(ctx context.Context) error {
-	console := operator.NewConsole(configlog.NewClient(o.platform, 2*time.Second), "converge")
+	console := operator.NewConsole(platform.NewLog(o.platform, 2*time.Second, peer.TCP{}.Dial), "converge")
 	fleet := operator.NewFleet(o.nodes)
 	addrs, err := fleet.Addresses()
 	if err != nil {
--- a/cmd/celeryload/replay.go
+++ b/cmd/celeryload/replay.go
@@ -20,8 +20,10 @@
 	"celerybank/internal/gossip"
 	"celerybank/internal/node"
 	"celerybank/internal/operator"
+	"celerybank/internal/peer"
 	"celerybank/internal/replay"
 	"celerybank/internal/schema"
+	"celerybank/platform"
 )
 
 func addReplay(app *kingpin.Application, commands map[string]func(context.Context) error) {
@@ -87,7 +89,7 @@
 const recordLimit = 10_000
 
 func (o *recordOptions) run(ctx context.Context) error {
-	page, err := configlog.NewClient(o.platform, 2*time.Second).Read(ctx, configlog.MeshStream, 1, recordLimit, 0)
+	page, err := platform.NewLog(o.platform, 2*time.Second, peer.TCP{}.Dial).Read(ctx, configlog.MeshStream, 1, recordLimit, 0)
 	if err != nil {
 		return err
 	}
--- a/cmd/celeryload/summary.go
+++ b/cmd/celeryload/summary.go
@@ -18,7 +18,9 @@
 	"celerybank/internal/load"
 	"celerybank/internal/mesh"
 	"celerybank/internal/operator"
+	"celerybank/internal/peer"
 	"celerybank/internal/schema"
+	"celerybank/platform"
 )
 
 // summaryOptions are the flags of the summary command.
@@ -57,7 +59,7 @@
 		return command.FileFaults{File: o.report, Faults: schema.Faults{{Reason: err.Error()}}}
 	}
 	rows := callRows(r, o.served)
-	console := operator.NewConsole(configlog.NewClient(o.platform, 2*time.Second), "summary")
+	console := operator.NewConsole(platform.NewLog(o.platform, 2*time.Second, peer.TCP{}.Dial), "summary")
 	st, err := console.State(ctx)
 	if err != nil {
 		return err
@@ -104,7 +106,7 @@
 			last[int64(v)] = e.Time
 		}
 	}
-	page, err := configlog.NewClient(o.platform, 2*time.Second).Read(ctx, configlog.MeshStream, 1, 1000, 0)
+	page, err := platform.NewLog(o.platform, 2*time.Second, peer.TCP{}.Dial).Read(ctx, configlog.MeshStream, 1, 1000, 0)
 	if err != nil {
 		return row{}, err
 	}
--- a/internal/configlog/memory.go
+++ b/internal/configlog/memory.go
@@ -127,6 +127,17 @@
 
 // Append implements Log.
 func (m *Memory) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	return m.AppendAll(ctx, stream, AnyOffset, data)
+}
+
+// AnyOffset lets AppendAll add records whatever the end of the stream is.
+const AnyOffset = -1
+
+// ErrOtherEnd is returned by AppendAll when the stream does not end where the caller says.
+var ErrOtherEnd = errors.New("log service: stream has another end")
+
+// AppendAll adds records, all or none, if the next offset is at, and returns the first one's.
+func (m *Memory) AppendAll(ctx context.Context, stream string, at int64, records ...[]byte) (int64, error) {
 	if err := m.pause(ctx); err != nil {
 		return 0, err
 	}
@@ -134,7 +145,12 @@
 	defer m.mu.Unlock()
 	s := m.stream(stream)
 	offset := s.first + int64(len(s.entries))
-	s.entries = append(s.entries, Entry{Offset: offset, Data: append([]byte(nil), data...)})
+	if at != AnyOffset && at != offset {
+		return offset, ErrOtherEnd
+	}
+	for i, data := range records {
+		s.entries = append(s.entries, Entry{Offset: offset + int64(i), Data: append([]byte(nil), data...)})
+	}
 	m.trim(s)
 	m.stats.Appends[stream]++
 	m.wake()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -69,7 +69,7 @@
 // New wires the duties together; nothing runs yet. ctx ends with the process.
 func New(ctx context.Context, s platform.Settings, network peer.Network, ev *events.Recorder) *Node {
 	n := &Node{settings: s, network: network, events: ev}
-	n.store = platform.NewClient(s.Store.Address, network.Dial)
+	n.store = platform.NewClient(s.Store.Address, platform.CallTimeout, network.Dial)
 	operator := platform.NewOperator(n.store)
 	n.pool = peer.NewPool(network, ev, nil)
 	n.server = peer.NewServer(ev, nil)
