--- /dev/null
+++ b/internal/orders/board_test.go
@@ -0,0 +1,76 @@
+package orders
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"celerybank/internal/routes"
+)
+
+// testDecoder reads "config" with a version, "out/ZONE" and "move/SERVICE".
+type testDecoder struct{}
+
+func (testDecoder) Decode(r Record) (Order, error) {
+	kind, name, _ := strings.Cut(r.Key, "/")
+	switch kind {
+	case "config":
+		v, err := strconv.ParseUint(string(r.Value), 10, 64)
+		return Order{Config: &routes.Config{Version: v}}, err
+	case "out":
+		return Order{ZoneOut: name}, nil
+	case "move":
+		return Order{Rollout: &Rollout{Service: name, Version: string(r.Value), Duration: time.Second, Accepted: r.Offset}}, nil
+	}
+	return Order{}, errors.New("unknown key")
+}
+
+func record(key, value string, offset int64) Record {
+	return Record{Key: key, Value: []byte(value), Offset: offset}
+}
+
+func TestNewestRecordOfEachKeyHolds(t *testing.T) {
+	b := NewBoard(testDecoder{}, nil)
+	b.Apply(Batch{Next: 4, Records: []Record{record("config", "3", 0), record("out/a", "{}", 1), record("move/s", "v2", 2), record("config", "5", 3)}}, "test")
+	v := b.View()
+	if v.Table.Version != 5 || !v.ZonesOut["a"] || v.Rollouts["s"].Version != "v2" || v.Next != 4 {
+		t.Fatalf("%+v", v)
+	}
+	if b.Apply(Batch{Next: 3, Records: []Record{record("config", "9", 2)}}, "test") || b.View().Table.Version != 5 {
+		t.Error("an older batch was taken")
+	}
+	b.Apply(Batch{Next: 5, Records: []Record{record("out/a", "", 4)}}, "test")
+	if b.View().ZonesOut["a"] || v.ZonesOut["a"] == false {
+		t.Error("the zone is still out, or an old view has changed")
+	}
+}
+
+func TestOlderOrMalformedConfigurationChangesNothing(t *testing.T) {
+	b := NewBoard(testDecoder{}, nil)
+	b.Apply(Batch{Next: 1, Records: []Record{record("config", "7", 0)}}, "test")
+	b.Apply(Batch{Next: 3, Records: []Record{record("config", "6", 1)}}, "test")
+	b.Apply(Batch{Next: 4, Records: []Record{record("config", "bytes", 3)}}, "test")
+	if v := b.View(); v.Table.Version != 7 || v.Next != 4 {
+		t.Errorf("%+v", v)
+	}
+}
+
+// The store forgets its history: a whole copy takes away what it lacks, also at peers
+// that ask from a position before it.
+func TestWholeCopyWithdrawsWhatItLacks(t *testing.T) {
+	a, b := NewBoard(testDecoder{}, nil), NewBoard(testDecoder{}, nil)
+	first := Batch{Next: 3, Records: []Record{record("config", "1", 0), record("out/a", "{}", 1), record("move/a", "v2", 2)}}
+	a.Apply(first, "store")
+	b.Apply(first, "store")
+	a.Apply(Batch{Whole: true, Next: 9, Records: []Record{record("config", "1", 0), record("move/a", "v2", 2)}}, "store")
+	if v := a.View(); v.ZonesOut["a"] || v.Rollouts["a"].Version != "v2" {
+		t.Fatalf("%+v", v)
+	}
+	b.Apply(a.After(b.View().Next), "peer")
+	if v := b.View(); v.ZonesOut["a"] || v.Rollouts["a"].Version != "v2" || v.Next != 9 {
+		t.Errorf("%+v", v)
+	}
+}
--- /dev/null
+++ b/internal/routes/routes_test.go
@@ -0,0 +1,43 @@
+package routes
+
+import (
+	"testing"
+	"time"
+)
+
+func config(prefixes ...string) *Config {
+	c := &Config{Version: 1, Services: []Service{{Name: "a"}, {Name: "b"}}}
+	for _, p := range prefixes {
+		c.Routes = append(c.Routes, Route{Name: p, Host: "shop.example", Prefix: p, Targets: []Target{{"a", 1}}, Timeout: time.Second, Target: time.Second, Attempts: 1})
+	}
+	return c
+}
+
+func TestLongestPrefixMatches(t *testing.T) {
+	table := NewTable(config("/a/", "/a/b/", "/c/"))
+	for _, c := range []struct{ host, path, want string }{
+		{"shop.example", "/a/x", "/a/"}, {"shop.example", "/a/b/x", "/a/b/"}, {"SHOP.example:80", "/c/", "/c/"},
+		{"shop.example", "/a", ""}, {"shop.example", "/d/", ""}, {"other.example", "/a/x", ""},
+	} {
+		got := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: %q, not %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Each part of a weighted route gets its share of the whole range of draws.
+func TestWeightsSplitTheDraws(t *testing.T) {
+	r := Route{Targets: []Target{{"a", 90}, {"b", 10}, {"none", 0}}}
+	count := map[string]int{}
+	const draws = 1000
+	for i := range draws {
+		count[r.at(float64(i)/draws)]++
+	}
+	if count["a"] != 900 || count["b"] != 100 {
+		t.Errorf("%v", count)
+	}
+}
