--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,135 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"celerybank/internal/gossip"
+	"celerybank/internal/proxy"
+)
+
+// newBalancer returns a balancer in zone a with one upstream in each of four zones.
+func newBalancer() (*Balancer, map[string]*Endpoint) {
+	b := New("a")
+	for i, zone := range []string{"a", "b", "c", "d"} {
+		b.Update(gossip.Member{Addr: fmt.Sprint("10.0.0.", i, ":7000"), Zone: zone, Incarnation: 1,
+			Upstream: gossip.Upstream{Service: "stock", Version: "v1", Instance: zone, Slots: 8}})
+	}
+	byZone := map[string]*Endpoint{}
+	for _, e := range b.Endpoints("stock") {
+		byZone[e.Zone] = e
+	}
+	for range 50 {
+		b.Learn("stock", "list", 100*time.Millisecond)
+	}
+	return b, byZone
+}
+
+var ask = Ask{Service: "stock", Route: "list", Target: 400 * time.Millisecond}
+
+// picks counts the zones of n choices.
+func picks(b *Balancer, a Ask, n int) map[string]int {
+	out := map[string]int{}
+	for range n {
+		if e, _ := b.Pick(a); e != nil {
+			out[e.Zone]++
+		}
+	}
+	return out
+}
+
+// Pattern: all upstreams are well. Bytes between zones are dear, so the own zone serves.
+func TestOwnZoneServesWhileItIsInTime(t *testing.T) {
+	b, _ := newBalancer()
+	if got := picks(b, ask, 100); got["a"] != 100 {
+		t.Errorf("%v", got)
+	}
+}
+
+// Pattern: upstreams of unequal speed. The slow one in the own zone serves what it answers in
+// time, and not what it would answer late.
+func TestSlowUpstreamGetsWhatItAnswersInTime(t *testing.T) {
+	b, zones := newBalancer()
+	for range 50 {
+		zones["a"].Answered(300*time.Millisecond, 100*time.Millisecond, false, time.Now())
+	}
+	if got := picks(b, ask, 100); got["a"] != 0 {
+		t.Errorf("target 400 ms, it takes 300: %v", got)
+	}
+	patient := ask
+	patient.Target = 2 * time.Second
+	if got := picks(b, patient, 100); got["a"] != 100 {
+		t.Errorf("target 2 s: %v", got)
+	}
+}
+
+// Pattern: slots short. A full upstream in the own zone gives way to one with room.
+func TestFullUpstreamGivesWay(t *testing.T) {
+	b, zones := newBalancer()
+	zones["a"].Reported(proxy.Load{InUse: 14, Limit: 8, Pace: 100 * time.Millisecond}, time.Now())
+	if got := picks(b, ask, 100); got["a"] != 0 {
+		t.Errorf("%v", got)
+	}
+	for _, e := range zones {
+		e.Reported(proxy.Load{InUse: 14, Limit: 8, Pace: 100 * time.Millisecond}, time.Now())
+	}
+	if e, room := b.Pick(ask); e == nil || room {
+		t.Errorf("all full: %v, room %v", e, room)
+	}
+}
+
+// Pattern: an upstream fails part of its requests while it says that it is well.
+func TestFailingUpstreamIsAvoidedAndTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, zones := newBalancer()
+		for i := range 20 {
+			zones["a"].Answered(100*time.Millisecond, 100*time.Millisecond, i%2 == 0, time.Now())
+		}
+		if got := picks(b, ask, 100); got["a"] != 0 {
+			t.Errorf("%v", got)
+		}
+		time.Sleep(8 * fade)
+		if got := picks(b, ask, 100); got["a"] == 0 {
+			t.Errorf("after a while: %v", got)
+		}
+	})
+}
+
+// Pattern: a zone is cut off. After two silent hosts the third is not tried first.
+func TestCutZoneIsDoubtedAsAWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("a")
+		for i := range 3 {
+			b.Update(gossip.Member{Addr: fmt.Sprint("10.0.1.", i, ":7000"), Zone: "b", Upstream: gossip.Upstream{Service: "stock", Instance: fmt.Sprint(i), Slots: 8}})
+		}
+		b.Update(gossip.Member{Addr: "10.0.2.0:7000", Zone: "c", Upstream: gossip.Upstream{Service: "stock", Instance: "c", Slots: 8}})
+		all := b.Endpoints("stock")
+		for _, e := range all[:2] {
+			b.Unreachable(e, true, time.Now())
+		}
+		if got := picks(b, ask, 50); got["b"] != 0 {
+			t.Errorf("%v", got)
+		}
+		b.Reached(all[2])
+		if got := picks(b, ask, 200); got["b"] == 0 {
+			t.Errorf("after an answer from the zone: %v", got)
+		}
+	})
+}
+
+func TestLeavingUpstreamIsNotChosen(t *testing.T) {
+	b, zones := newBalancer()
+	b.Update(gossip.Member{Addr: zones["a"].Addr, Zone: "a", Draining: true, Upstream: gossip.Upstream{Service: "stock", Version: "v1", Instance: "a", Slots: 8}})
+	b.Update(gossip.Member{Addr: zones["b"].Addr, Zone: "b"})
+	b.Update(gossip.Member{Addr: zones["c"].Addr, Zone: "c", Status: gossip.Dead, Upstream: gossip.Upstream{Service: "stock", Version: "v1", Instance: "c", Slots: 8}})
+	if got := picks(b, ask, 50); got["d"] != 50 {
+		t.Errorf("%v", got)
+	}
+	only := ask
+	only.Eligible = func(e *Endpoint) bool { return e.Zone != "d" }
+	if e, _ := b.Pick(only); e != nil {
+		t.Errorf("%s was chosen", e.Zone)
+	}
+}
