Drain by what was taken, not by what runs; spend a bad version's allowance on showing its faults

Both framings of a body passed the check, since the library drops the length. Now 0.05 (more at a quiet service), 0.2, 1; owners are told at once.

--- a/internal/canary/assess.go
+++ b/internal/canary/assess.go
@@ -38,6 +38,9 @@
 	// twice the part that the old version fails at the same time.
 	badFailures = 4
 	badPart     = 0.12
+	// A quiet route shows fewer failures: these many suffice when they are a larger part.
+	fewFailures = 2
+	fewPart     = 0.25
 	// slowAnswers is the least number of answers by which a route is called slow, slowFactor how
 	// much slower than the old version's it then is in the mean.
 	slowAnswers = 6
@@ -60,7 +63,8 @@
 }
 
 func compare(old, next Counts) string {
-	if part := next.failedPart(); next.Failed >= badFailures && part > badPart+2*old.failedPart() {
+	part, usual := next.failedPart(), 2*old.failedPart()
+	if (next.Failed >= badFailures && part > badPart+usual) || (next.Failed >= fewFailures && next.Total >= slowAnswers && part > fewPart+usual) {
 		return fmt.Sprintf("%d of %d failed, of the old version %d of %d", next.Failed, next.Total, old.Failed, old.Total)
 	}
 	if next.Total >= slowAnswers && old.Total >= slowAnswers && next.mean() > slowFactor*old.mean()+slowFloor {
@@ -79,23 +83,42 @@
 	answers uint64
 }
 
-// steps lead a version from its first requests to all of them within most of its time. The first
-// share is half of what a bad version may get, and is held for so long that a fault that shows
-// late still falls into it; the later ones are short, as a fault then shows within a second.
+// steps lead a version from its first requests to all of them within most of its time. What a bad
+// one may get is a tenth of the requests in its whole time and a few more. The first share is half
+// of that and is held for so long that a fault that shows late still falls into it; the second one
+// is short, so that what is left suffices for the second in which a fault shows that comes with the
+// whole load only.
 var steps = []step{
-	{share: 0.05, until: 0.42, answers: 20},
-	{share: 0.25, until: 0.52, answers: 40},
-	{share: 0.55, until: 0.62, answers: 80},
-	{share: 1, until: 0.74, answers: 120},
+	{share: 0.05, until: 0.4, answers: 20},
+	{share: 0.2, until: 0.47, answers: 40},
+	{share: 1, until: 0.66, answers: 120},
 }
 
 // finishBy is the part of the duration by which the outcome has to be decided: writing it takes
 // a second at most with a slow store.
 const finishBy = 0.9
 
+// firstAnswers is about how many answers the first share should bring: with a fault in a third of
+// them it shows for certain, and it is half of the slack that a bad version has at a quiet service.
+const firstAnswers = 28
+
+// rateSpan is how long the requests of a service are counted before its first share is chosen.
+const rateSpan = 1200 * time.Millisecond
+
+// maxFirst bounds the first share of a quiet service.
+const maxFirst = 0.25
+
+// firstShare is the first share of a service with rate requests a second.
+func firstShare(rate float64, duration time.Duration) float64 {
+	expected := rate * steps[0].until * duration.Seconds()
+	return min(max(steps[0].share, firstAnswers/max(expected, 1)), maxFirst)
+}
+
 // decision is what a judge does next.
 type decision struct {
 	step int
+	// share is that of the step.
+	share float64
 	// done says that the new version has taken over.
 	done bool
 	// reason is set when the version is taken back.
@@ -105,19 +128,28 @@
 // decide looks at a rollout that has run for elapsed of duration and stands at a step.
 // held is how long it has stood there; oldBusy counts requests at upstreams of other versions.
 func decide(old, next tally, at int, elapsed, held, duration time.Duration, upstreams, oldBusy int) decision {
+	d := decideStep(old, next, at, elapsed, held, duration, upstreams, oldBusy)
+	if d.step >= 0 {
+		rate := float64(old.answered()+next.answered()) / max(elapsed.Seconds(), 1)
+		d.share = max(steps[d.step].share, firstShare(rate, duration))
+	}
+	return d
+}
+
+func decideStep(old, next tally, at int, elapsed, held, duration time.Duration, upstreams, oldBusy int) decision {
 	if reason := assess(old, next); reason != "" {
 		return decision{step: at, reason: reason}
 	}
 	part := float64(elapsed) / float64(duration)
 	if at < 0 {
-		if upstreams > 0 {
+		if upstreams > 0 && elapsed >= rateSpan {
 			return decision{step: 0}
 		}
-		return late(at, part, next, "no upstream of the version")
+		return late(at, part, held, next, "no upstream of the version")
 	}
 	s := steps[at]
 	if part < s.until || held < minHeld || next.answered() < s.answers {
-		return late(at, part, next, fmt.Sprintf("%d answers at share %.2f", next.answered(), s.share))
+		return late(at, part, held, next, fmt.Sprintf("%d answers at share %.2f", next.answered(), s.share))
 	}
 	if at == len(steps)-1 {
 		return decision{step: at, done: oldBusy == 0 || part > finishBy}
@@ -129,11 +161,11 @@
 const minHeld = 700 * time.Millisecond
 
 // leastEvidence is how many answers a version must have given to take over for want of time.
-const leastEvidence = 12
+const leastEvidence = 15
 
 // late ends a rollout whose time is nearly over: with enough good answers it goes on faster,
 // else it is taken back.
-func late(at int, part float64, next tally, reason string) decision {
+func late(at int, part float64, held time.Duration, next tally, reason string) decision {
 	switch {
 	case part < finishBy-float64(len(steps)-1-at)*hurry:
 		return decision{step: at}
@@ -143,7 +175,7 @@
 		}
 		return decision{step: at, reason: "not done in time: " + reason}
 	case at == len(steps)-1:
-		return decision{step: at, done: part >= finishBy}
+		return decision{step: at, done: part >= finishBy && held >= minHeld}
 	default:
 		return decision{step: at + 1}
 	}
--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -57,10 +57,12 @@
 	Service string `json:"s"`
 	Version string `json:"v"`
 	// Accepted tells rollouts of one version apart.
-	Accepted int64          `json:"a"`
-	Step     int            `json:"t"`
-	Outcome  orders.Outcome `json:"o"`
-	Reason   string         `json:"r,omitempty"`
+	Accepted int64 `json:"a"`
+	Step     int   `json:"t"`
+	// Share is that of the step.
+	Share   float64        `json:"h"`
+	Outcome orders.Outcome `json:"o"`
+	Reason  string         `json:"r,omitempty"`
 }
 
 func (s state) share() float64 {
@@ -70,7 +72,7 @@
 	case s.Outcome == orders.RolledBack || s.Step < 0:
 		return 0
 	default:
-		return steps[s.Step].share
+		return s.Share
 	}
 }
 
--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -16,7 +16,7 @@
 
 // Timing of a judge.
 const (
-	judgeInterval = 200 * time.Millisecond
+	judgeInterval = 150 * time.Millisecond
 	// askTimeout bounds the collection of evidence.
 	askTimeout = 300 * time.Millisecond
 	asksAtOnce = 16
@@ -143,7 +143,7 @@
 	case d.done:
 		s.Outcome = orders.Completed
 	case d.step != s.Step:
-		s.Step = d.step
+		s.Step, s.Share = d.step, d.share
 	default:
 		return
 	}
@@ -157,9 +157,46 @@
 		c.Events.Emit(events.TaskFailed, events.Fields{"reason": err.Error()})
 		return
 	}
+	if s.Outcome == orders.RolledBack {
+		c.tellOwners(s)
+	}
 	c.Members.SetFact(gossip.Fact{Kind: FactKind, Key: stateKey(s.Service, s.Accepted), Seq: s.sequence(), Body: body, Expires: time.Now().Add(factLife)})
 }
 
+// tellOwners tells the owners of a version that is taken back at once: they refuse what nodes
+// that have not heard yet still send.
+func (c *Canaries) tellOwners(s state) {
+	body, err := json.Marshal(s)
+	if err != nil {
+		c.Events.Emit(events.TaskFailed, events.Fields{"reason": err.Error()})
+		return
+	}
+	for _, m := range c.Members.Alive() {
+		if m.Upstream.Service != s.Service || m.Upstream.Version != s.Version || m.Addr == c.Addr {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+			defer cancel()
+			_ = c.Peers.Call(ctx, m.Addr, "Canary.Told", &Told{Body: body}, &Empty{}) // the fact spreads in any case
+		}()
+	}
+}
+
+// Told brings the state of a rollout to an owner.
+type Told struct {
+	Body []byte `msgpack:"b"`
+}
+
+// Empty is an answer without content.
+type Empty struct{}
+
+// Told takes in what a judge has decided.
+func (s *Service) Told(t *Told, _ *Empty) error {
+	s.c.learn(gossip.Fact{Kind: FactKind, Body: t.Body})
+	return nil
+}
+
 // collection is the evidence of one moment.
 type collection struct {
 	old, next tally
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -64,10 +65,11 @@
 // answer is not lost to a reset.
 const lingerTimeout = 500 * time.Millisecond
 
-// Inflight returns the requests that are being answered.
+// Inflight returns the requests that were taken and whose answers are not written.
 func (s *Server) Inflight() int64 { return s.inflight.Load() }
 
-// Drain closes connections after their current answers, and idle ones now.
+// Drain takes no more requests: it closes idle connections and new ones now, and others after
+// their current answers. Every request that was taken before counts in Inflight when it returns.
 func (s *Server) Drain() {
 	s.draining.Store(true)
 	s.mu.Lock()
@@ -88,6 +90,10 @@
 			time.Sleep(acceptPause) // out of descriptors, or a connection that was reset before
 			continue
 		}
+		if s.draining.Load() {
+			_ = raw.Close()
+			continue
+		}
 		c := s.newConn(raw)
 		go c.read()
 		go c.write()
@@ -177,6 +183,7 @@
 		}
 		if !c.admit() {
 			release(x)
+			c.hangUp()
 			return
 		}
 		if err != nil {
@@ -186,7 +193,6 @@
 			return
 		}
 		x.last = x.req.Header.ConnectionClose()
-		c.server.inflight.Add(1)
 		c.queue <- x
 		go c.serve(x)
 		if x.last {
@@ -212,6 +218,13 @@
 	}()
 }
 
+// hangUp closes a connection on which nothing is under way.
+func (c *conn) hangUp() {
+	if c.idle() {
+		_ = c.raw.Close()
+	}
+}
+
 // await waits for the first byte of a request.
 func (c *conn) await(r *bufio.Reader, limits routes.Limits) error {
 	for {
@@ -233,14 +246,15 @@
 	return c.pending == 0
 }
 
-// admit counts a request that was read, unless the connection is closing.
+// admit takes a request that was read, unless the connection is closing: then it counts as not read.
 func (c *conn) admit() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing || c.server.draining.Load() {
 		return false
 	}
 	c.pending++
+	c.server.inflight.Add(1)
 	return true
 }
 
@@ -291,7 +305,8 @@
 	if len(h.PeekAll(fasthttp.HeaderTransferEncoding)) > 1 || (len(coding) > 0 && string(coding) != "chunked") {
 		return errFraming
 	}
-	if len(coding) > 0 && len(h.PeekAll(fasthttp.HeaderContentLength)) > 0 {
+	// The library drops a length beside a coding, so the bytes as they came tell.
+	if len(coding) > 0 && bytes.Contains(bytes.ToLower(h.RawHeaders()), []byte("content-length:")) {
 		return errFraming
 	}
 	return nil
@@ -332,7 +347,6 @@
 }
 
 func (c *conn) serve(x *exchange) {
-	defer c.server.inflight.Add(-1)
 	defer close(x.done)
 	c.server.cfg.Handler.Serve(c.ctx, x.req, x.resp)
 }
@@ -345,6 +359,7 @@
 		<-x.done
 		last := c.finish(x)
 		err := c.send(w, x, last)
+		c.server.inflight.Add(-1)
 		release(x)
 		if err != nil {
 			c.leave()
@@ -358,6 +373,7 @@
 	_ = c.raw.Close()
 	for x := range c.queue {
 		<-x.done
+		c.server.inflight.Add(-1)
 		release(x)
 	}
 }
