Log to standard output through a bounded queue; limit the lines of each event

Cause: log lines went to standard error in the caller's task, so an output that nobody reads would have stopped requests; a node in trouble wrote a line for each refusal. Test: TestUnreadOutputBlocksNobody, TestLinesOfAnEventAreBounded.

--- a/cmd/celerybank/main.go
+++ b/cmd/celerybank/main.go
@@ -43,7 +43,9 @@
 		fmt.Printf("%s: ok\n", path)
 		return nil
 	}
-	ev := events.New(cfg.Name, cfg.Zone, command.NewLog())
+	logger, flush := command.NewLog()
+	defer flush()
+	ev := events.New(cfg.Name, cfg.Zone, logger)
 	var network peer.Network = peer.TCP{From: node.LocalIP(cfg.Listen.Peers)}
 	if faults != "" {
 		network = faultControl(faults, network)
--- a/cmd/celerysidecar/main.go
+++ b/cmd/celerysidecar/main.go
@@ -47,7 +47,9 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(s.MemoryBytes)))
 	}
-	ev := events.New(s.Name, s.Zone, command.NewLog())
+	logger, flush := command.NewLog()
+	defer flush()
+	ev := events.New(s.Name, s.Zone, logger)
 	var network peer.TCP
 	if ap, err := netip.ParseAddrPort(s.Peers); err == nil {
 		network.From = ap.Addr().AsSlice()
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -7,10 +7,12 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
+	"celerybank/internal/events"
 	"celerybank/internal/schema"
 )
 
@@ -75,10 +77,15 @@
 	return stop, kill
 }
 
-// NewLog returns a log of JSON lines on standard error.
-func NewLog() *logrus.Logger {
-	l := logrus.New()
-	l.SetOutput(os.Stderr)
+// NewLog returns a log of JSON lines on standard output, which never blocks its callers, and a
+// function that writes what is queued before the process ends.
+func NewLog() (l *logrus.Logger, flush func()) {
+	sink := events.NewSink(os.Stdout)
+	l = logrus.New()
+	l.SetOutput(sink)
 	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000000Z07:00"})
-	return l
+	return l, func() { sink.Flush(flushLimit) }
 }
+
+// flushLimit bounds the wait for a standard output that is slow to read.
+const flushLimit = 100 * time.Millisecond
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -39,15 +39,16 @@
 	log        *logrus.Logger
 	clock      Clock
 
-	mu   sync.Mutex
-	seq  uint64
-	ring []Event
-	subs []func(Event)
+	mu    sync.Mutex
+	limit limiter
+	seq   uint64
+	ring  []Event
+	subs  []func(Event)
 }
 
 // New returns a recorder for the process named node in zone. A nil log writes no lines.
 func New(node, zone string, log *logrus.Logger) *Recorder {
-	return &Recorder{node: node, zone: zone, log: log}
+	return &Recorder{node: node, zone: zone, log: log, limit: limiter{perSecond: LinesPerSecond}}
 }
 
 // Subscribe calls f for each later event, in order, while the recorder's lock is held:
@@ -83,14 +84,27 @@
 	for _, f := range r.subs {
 		f(e)
 	}
+	allowed, left := r.limit.allow(code, e.Time)
 	r.mu.Unlock()
-	if r.log != nil {
-		r.log.WithFields(logrus.Fields(fields)).
-			WithFields(logrus.Fields{"event": int(code), "node": r.node, "zone": r.zone}).
-			Log(def.Level, def.Name)
+	if r.log == nil {
+		return
+	}
+	for other, n := range left {
+		r.write(LinesLimited, Fields{"of": Catalogue[other].Name, "left_out": n})
+	}
+	if allowed {
+		r.write(code, fields)
 	}
 }
 
+// write writes one log line.
+func (r *Recorder) write(code Code, fields Fields) {
+	def := Catalogue[code]
+	r.log.WithFields(logrus.Fields(fields)).
+		WithFields(logrus.Fields{"event": int(code), "node": r.node, "zone": r.zone}).
+		Log(def.Level, def.Name)
+}
+
 // Since returns the kept events with a sequence number above seq, oldest first.
 func (r *Recorder) Since(seq uint64) []Event {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/events/sink.go
@@ -0,0 +1,99 @@
+package events
+
+import (
+	"encoding/json"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// sinkLines bounds the lines that wait to be written; at 300 bytes a line that is 600 KB.
+const sinkLines = 2048
+
+// Sink writes lines to w from a task of its own. It never blocks its callers: lines that find
+// the queue full are dropped, counted, and reported in a line of their own.
+type Sink struct {
+	w       io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewSink returns a sink and starts its task, which ends with the process.
+func NewSink(w io.Writer) *Sink {
+	s := &Sink{w: w, lines: make(chan []byte, sinkLines)}
+	go s.run()
+	return s
+}
+
+// Write implements io.Writer for one line.
+func (s *Sink) Write(line []byte) (int, error) {
+	select {
+	case s.lines <- append([]byte(nil), line...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped and not yet reported.
+func (s *Sink) Dropped() int64 { return s.dropped.Load() }
+
+// Flush waits until the lines that were queued are written, at most for limit.
+func (s *Sink) Flush(limit time.Duration) {
+	for end := time.Now().Add(limit); len(s.lines) > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+}
+
+func (s *Sink) run() {
+	for line := range s.lines {
+		if n := s.dropped.Swap(0); n > 0 {
+			s.report(n)
+		}
+		_, _ = s.w.Write(line) // without a reader there is nobody to tell
+	}
+}
+
+// report writes how many lines are missing.
+func (s *Sink) report(n int64) {
+	text, err := json.Marshal(map[string]any{"event": LinesDropped, "msg": Catalogue[LinesDropped].Name, "lines": n, "time": time.Now()})
+	if err != nil {
+		return // plain values always marshal
+	}
+	_, _ = s.w.Write(append(text, '\n')) // as above
+}
+
+// LinesPerSecond bounds the log lines of one event in a second; the time line and the counters
+// have all of them. At a few dozen kinds of events a node in trouble writes less than 1 MB/s.
+const LinesPerSecond = 40
+
+// limiter bounds the lines of each event.
+type limiter struct {
+	perSecond int
+	second    int64
+	counts    map[Code]int
+}
+
+// allow counts one line of an event; it returns false for one too many, and what was left out in
+// the second before, once.
+func (l *limiter) allow(code Code, now time.Time) (ok bool, left map[Code]int) {
+	if s := now.Unix(); s != l.second {
+		left = l.over()
+		l.second, l.counts = s, map[Code]int{}
+	}
+	l.counts[code]++
+	return l.counts[code] <= l.perSecond, left
+}
+
+// over returns how many lines of each event were left out.
+func (l *limiter) over() map[Code]int {
+	var out map[Code]int
+	for code, n := range l.counts {
+		if n > l.perSecond {
+			if out == nil {
+				out = map[Code]int{}
+			}
+			out[code] = n - l.perSecond
+		}
+	}
+	return out
+}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -38,7 +38,7 @@
 	 "platform": {"address": "$PLATFORM"},
 	 "seeds": ["127.$BASE.1.1:7000", "127.$BASE.2.1:7000"]}
 	EOF
-	"$BIN/celerybank" --settings "$RUN/$1.json" >>"$RUN/$1.out" 2>>"$RUN/$1.log" &
+	"$BIN/celerybank" --settings "$RUN/$1.json" >>"$RUN/$1.log" 2>&1 &
 	PIDS+=($!)
 	eval "PID_node_${1//-/_}=$!"
 	NODES+=("$3:9000")
