Keep schemas of operators' files out of the node

Cause: package inventory compiled two JSON schemas when it was linked; every node held them. The parsers moved to inventory/document, the list of faults to fault.

--- a/cmd/celeryctl/config.go
+++ b/cmd/celeryctl/config.go
@@ -10,8 +10,9 @@
 	"github.com/go-faster/errors"
 
 	"celerybank/internal/command"
+	"celerybank/internal/fault"
 	"celerybank/internal/inventory"
-	"celerybank/internal/schema"
+	"celerybank/internal/inventory/document"
 )
 
 // files are the operators' input.
@@ -29,14 +30,14 @@
 	if err != nil {
 		return inventory.Inventory{}, rules, missing(f.inventory, err)
 	}
-	inv, err := inventory.Parse(text)
+	inv, err := document.Parse(text)
 	if err != nil || f.rules == "" {
 		return inv, rules, command.InFile(f.inventory, err)
 	}
 	if text, err = os.ReadFile(f.rules); err != nil {
 		return inv, rules, missing(f.rules, err)
 	}
-	rules, err = inventory.ParseRules(text)
+	rules, err = document.ParseRules(text)
 	if err == nil {
 		if faults := inv.CheckReferences(rules); faults != nil {
 			err = faults
@@ -46,7 +47,7 @@
 }
 
 func missing(file string, err error) error {
-	return command.FileFaults{File: file, Faults: schema.Faults{{Reason: err.Error()}}}
+	return command.FileFaults{File: file, Faults: fault.List{{Reason: err.Error()}}}
 }
 
 func addConfigCommands(app *kingpin.Application, o *options, commands map[string]func() error) {
@@ -79,7 +80,7 @@
 		return err
 	}
 	version, err := o.console().Publish(context.Background(), inv, rules)
-	var faults schema.Faults
+	var faults fault.List
 	if errors.As(err, &faults) {
 		return command.InFile(f.rules, err)
 	}
--- a/cmd/celeryload/replay.go
+++ b/cmd/celeryload/replay.go
@@ -17,12 +17,12 @@
 	"celerybank/internal/command"
 	"celerybank/internal/configlog"
 	"celerybank/internal/events"
+	"celerybank/internal/fault"
 	"celerybank/internal/gossip"
 	"celerybank/internal/node"
 	"celerybank/internal/operator"
 	"celerybank/internal/peer"
 	"celerybank/internal/replay"
-	"celerybank/internal/schema"
 	"celerybank/platform"
 )
 
@@ -44,7 +44,7 @@
 	for _, file := range traces {
 		differences, err := replayFile(file)
 		if err != nil {
-			return command.FileFaults{File: file, Faults: schema.Faults{{Reason: err.Error()}}}
+			return command.FileFaults{File: file, Faults: fault.List{{Reason: err.Error()}}}
 		}
 		for _, d := range differences {
 			fmt.Printf("%s: %s\n", file, d)
--- a/cmd/celeryload/run.go
+++ b/cmd/celeryload/run.go
@@ -11,9 +11,9 @@
 
 	"celerybank/internal/command"
 	"celerybank/internal/events"
+	"celerybank/internal/fault"
 	"celerybank/internal/load"
 	"celerybank/internal/operator"
-	"celerybank/internal/schema"
 )
 
 // runOptions are the flags of the run command.
@@ -64,7 +64,7 @@
 		err = json.Unmarshal(text, &cfg.Mix)
 	}
 	if err != nil {
-		return command.FileFaults{File: file, Faults: schema.Faults{{Reason: err.Error()}}}
+		return command.FileFaults{File: file, Faults: fault.List{{Reason: err.Error()}}}
 	}
 	return nil
 }
--- a/cmd/celeryload/summary.go
+++ b/cmd/celeryload/summary.go
@@ -15,11 +15,11 @@
 	"celerybank/internal/command"
 	"celerybank/internal/configlog"
 	"celerybank/internal/events"
+	"celerybank/internal/fault"
 	"celerybank/internal/load"
 	"celerybank/internal/mesh"
 	"celerybank/internal/operator"
 	"celerybank/internal/peer"
-	"celerybank/internal/schema"
 	"celerybank/platform"
 )
 
@@ -56,7 +56,7 @@
 	}
 	var r load.Report
 	if err := json.Unmarshal(text, &r); err != nil {
-		return command.FileFaults{File: o.report, Faults: schema.Faults{{Reason: err.Error()}}}
+		return command.FileFaults{File: o.report, Faults: fault.List{{Reason: err.Error()}}}
 	}
 	rows := callRows(r, o.served)
 	console := operator.NewConsole(platform.NewLog(o.platform, 2*time.Second, peer.TCP{}.Dial), "summary")
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -13,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 
 	"celerybank/internal/events"
-	"celerybank/internal/schema"
 )
 
 // Version of all programs; the build may replace it.
@@ -36,7 +35,7 @@
 	}
 	var faults FileFaults
 	if errors.As(err, &faults) {
-		for _, f := range faults.Faults {
+		for _, f := range faults.Faults.Lines() {
 			fmt.Fprintf(os.Stderr, "%s: %s: %s\n", program, faults.File, f)
 		}
 		os.Exit(ExitUsage)
@@ -45,17 +44,24 @@
 	os.Exit(ExitFailed)
 }
 
+// Faults is an error that has a line for each fault of a file.
+type Faults interface {
+	error
+	// Lines returns what is wrong, a fault each.
+	Lines() []string
+}
+
 // FileFaults are the faults of one file.
 type FileFaults struct {
 	File   string
-	Faults schema.Faults
+	Faults Faults
 }
 
 func (f FileFaults) Error() string { return f.File + ": " + f.Faults.Error() }
 
 // InFile names the file of err when err is a list of faults.
 func InFile(file string, err error) error {
-	var faults schema.Faults
+	var faults Faults
 	if errors.As(err, &faults) {
 		return FileFaults{file, faults}
 	}
--- a/internal/inventory/check.go
+++ b/internal/inventory/check.go
@@ -1,63 +1,23 @@
 package inventory
 
 import (
-	_ "embed"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
 
-	"celerybank/internal/schema"
+	"celerybank/internal/fault"
 )
 
-//go:embed inventory.schema.json
-var inventorySchemaText []byte
-
-//go:embed rules.schema.json
-var rulesSchemaText []byte
-
-var (
-	inventorySchema = schema.Compile("inventory.schema.json", inventorySchemaText)
-	rulesSchema     = schema.Compile("rules.schema.json", rulesSchemaText)
-)
-
-// Parse reads an inventory. Faults are schema.Faults with the path of each field.
-func Parse(text []byte) (Inventory, error) {
-	var inv Inventory
-	if faults := schema.Check(inventorySchema, text); faults != nil {
-		return inv, faults
-	}
-	if err := json.Unmarshal(text, &inv); err != nil {
-		return inv, schema.Faults{{Reason: err.Error()}}
-	}
-	if faults := inv.Check(); faults != nil {
-		return inv, faults
-	}
-	return inv, nil
-}
-
-// ParseRules reads rules; CheckRules finds what depends on the inventory.
-func ParseRules(text []byte) (Rules, error) {
-	var r Rules
-	if faults := schema.Check(rulesSchema, text); faults != nil {
-		return r, faults
-	}
-	if err := json.Unmarshal(text, &r); err != nil {
-		return r, schema.Faults{{Reason: err.Error()}}
-	}
-	return r, nil
-}
-
 // faultList collects faults under formatted paths.
-type faultList struct{ faults schema.Faults }
+type faultList struct{ faults fault.List }
 
 func (l *faultList) add(reason, path string, args ...any) {
-	l.faults = append(l.faults, schema.Fault{Path: fmt.Sprintf(path, args...), Reason: reason})
+	l.faults = append(l.faults, fault.Fault{Path: fmt.Sprintf(path, args...), Reason: reason})
 }
 
 // Check finds what the schema cannot express; nil when the inventory is whole.
-func (inv Inventory) Check() schema.Faults {
+func (inv Inventory) Check() fault.List {
 	var l faultList
 	zones := map[string]bool{}
 	for i, z := range inv.Zones {
@@ -140,7 +100,7 @@
 }
 
 // CheckRules finds faults of r against inv; now refuses moves whose time is past.
-func (inv Inventory) CheckRules(r Rules, now time.Time) schema.Faults {
+func (inv Inventory) CheckRules(r Rules, now time.Time) fault.List {
 	l := faultList{faults: inv.CheckReferences(r)}
 	for i, m := range r.Moves {
 		if !m.By.After(now) {
@@ -152,7 +112,7 @@
 
 // CheckReferences finds names in r that inv lacks and moves that contradict each other.
 // It does not depend on the time, so every reader of the log judges alike.
-func (inv Inventory) CheckReferences(r Rules) schema.Faults {
+func (inv Inventory) CheckReferences(r Rules) fault.List {
 	var l faultList
 	moving := map[string]bool{}
 	for i, m := range r.Moves {
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -11,33 +11,9 @@
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
-)
-
-// Fault is one thing wrong with a document.
-type Fault struct {
-	// Path is the field's path, such as services[2].routes[0].method; empty for the document.
-	Path string
-	// Reason says what is wrong, in one line.
-	Reason string
-}
-
-func (f Fault) String() string {
-	if f.Path == "" {
-		return f.Reason
-	}
-	return f.Path + ": " + f.Reason
-}
-
-// Faults is a non-empty list of faults as an error.
-type Faults []Fault
 
-func (f Faults) Error() string {
-	lines := make([]string, len(f))
-	for i, x := range f {
-		lines[i] = x.String()
-	}
-	return strings.Join(lines, "\n")
-}
+	"celerybank/internal/fault"
+)
 
 // Compile reads a schema that is part of the program; a broken one panics.
 func Compile(name string, text []byte) *jsonschema.Schema {
@@ -53,10 +29,10 @@
 }
 
 // Check returns the faults of the JSON text, nil when it has none.
-func Check(s *jsonschema.Schema, text []byte) Faults {
+func Check(s *jsonschema.Schema, text []byte) fault.List {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err != nil {
-		return Faults{{Reason: "not JSON: " + err.Error()}}
+		return fault.List{{Reason: "not JSON: " + err.Error()}}
 	}
 	err = s.Validate(doc)
 	if err == nil {
@@ -64,7 +40,7 @@
 	}
 	var invalid *jsonschema.ValidationError
 	if !errors.As(err, &invalid) {
-		return Faults{{Reason: err.Error()}}
+		return fault.List{{Reason: err.Error()}}
 	}
 	return leaves(invalid, nil)
 }
@@ -72,9 +48,9 @@
 var english = message.NewPrinter(language.English)
 
 // leaves lists the innermost causes: they name the field itself.
-func leaves(e *jsonschema.ValidationError, out Faults) Faults {
+func leaves(e *jsonschema.ValidationError, out fault.List) fault.List {
 	if len(e.Causes) == 0 {
-		return append(out, Fault{Path: path(e.InstanceLocation), Reason: e.ErrorKind.LocalizedString(english)})
+		return append(out, fault.Fault{Path: path(e.InstanceLocation), Reason: e.ErrorKind.LocalizedString(english)})
 	}
 	for _, c := range e.Causes {
 		out = leaves(c, out)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"celerybank/internal/duration"
+	"celerybank/internal/fault"
 	"celerybank/internal/schema"
 )
 
@@ -86,7 +87,7 @@
 	}
 }
 
-// Load reads and checks the file at path. Faults in the file are schema.Faults.
+// Load reads and checks the file at path. Faults in the file are fault.List.
 func Load(path string) (Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -102,7 +103,7 @@
 	}
 	c := Default()
 	if err := json.Unmarshal(text, &c); err != nil {
-		return Config{}, schema.Faults{{Reason: err.Error()}}
+		return Config{}, fault.List{{Reason: err.Error()}}
 	}
 	if faults := c.check(); len(faults) > 0 {
 		return Config{}, faults
@@ -111,11 +112,11 @@
 }
 
 // check finds what a schema cannot express.
-func (c Config) check() schema.Faults {
-	var faults schema.Faults
+func (c Config) check() fault.List {
+	var faults fault.List
 	address := func(path, value string) {
 		if _, err := netip.ParseAddrPort(value); err != nil {
-			faults = append(faults, schema.Fault{Path: path, Reason: "not an IP address with port: " + value})
+			faults = append(faults, fault.Fault{Path: path, Reason: "not an IP address with port: " + value})
 		}
 	}
 	address("listen.callers", c.Listen.Callers)
@@ -127,7 +128,7 @@
 	}
 	positive := func(path string, d Duration) {
 		if d <= 0 {
-			faults = append(faults, schema.Fault{Path: path, Reason: "must be above zero"})
+			faults = append(faults, fault.Fault{Path: path, Reason: "must be above zero"})
 		}
 	}
 	positive("platform.timeout", c.Platform.Timeout)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"celerybank/internal/schema"
+	"celerybank/internal/fault"
 )
 
 const good = `{"name": "vittoria-1", "zone": "vittoria",
@@ -39,7 +39,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := Parse([]byte(strings.Replace(good, tc.change[0], tc.change[1], 1)))
-			var faults schema.Faults
+			var faults fault.List
 			if !errors.As(err, &faults) || !strings.Contains(err.Error(), tc.want) {
 				t.Fatalf("got %v, want a fault that names %s", err, tc.want)
 			}
