--- a/cmd/celerysidecar/main.go
+++ b/cmd/celerysidecar/main.go
@@ -19,7 +19,7 @@
 
 // Collector settings: memory is dear on the hosts, and the live heap is small.
 const (
-	gcPercent = 50
+	gcPercent = 20
 	// heapShare of the host's limit makes the collector work harder before the process is killed.
 	heapShare = 0.6
 )
