--- a/cmd/celeryctl/main.go
+++ b/cmd/celeryctl/main.go
@@ -44,6 +44,7 @@
 	addMovesCommand(app, o, commands)
 	addZoneCommands(app, o, commands)
 	addTransferCommands(app, o, commands)
+	addTraceCommand(app, o, commands)
 	name, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "celeryctl: %v, try --help\n", err)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -97,8 +97,9 @@
 		req.Rank, req.Hop.Retry = callRank, repeat
 	}
 	d.Budget.Earn(req.Service)
-	a := d.offer(ctx, view, route, req, time.Now().Add(route.Target))
-	d.report(req, a)
+	at := &attempt{route: route, req: req, view: view, target: time.Now().Add(route.Target)}
+	a := d.offer(ctx, at)
+	d.report(at, a)
 	return a
 }
 
@@ -118,8 +119,9 @@
 	suspected bool
 }
 
-func (d *Dispatcher) offer(ctx context.Context, view *orders.View, route *routes.Route, req *proxy.Request, target time.Time) *proxy.Answer {
-	at := &attempt{route: route, req: req, view: view, target: target}
+// offer sends a request to one upstream after the other until an answer is final.
+func (d *Dispatcher) offer(ctx context.Context, at *attempt) *proxy.Answer {
+	req := at.req
 	if d.Crashes.Watching() {
 		f := proxy.Fingerprint(req)
 		if d.Crashes.Blocked(f) {
@@ -263,12 +265,12 @@
 func (d *Dispatcher) refuse(req *proxy.Request, reason proxy.Reason, after time.Duration) *proxy.Answer {
 	a := proxy.Refusal(verdict.NotRun, reason)
 	a.RetryAfter = after
-	d.report(req, a)
+	d.report(&attempt{req: req}, a)
 	return a
 }
 
 // report writes the line of a request that was not served.
-func (d *Dispatcher) report(req *proxy.Request, a *proxy.Answer) {
+func (d *Dispatcher) report(at *attempt, a *proxy.Answer) {
 	if a.Reason == proxy.ReasonNone {
 		return
 	}
@@ -279,7 +281,12 @@
 	case a.Verdict == verdict.NotRun:
 		code = events.CallRefused
 	}
-	d.Events.Emit(code, events.Fields{"request": req.RequestID, "service": req.Service, "route": req.Route, "reason": a.Reason,
+	req, last := at.req, ""
+	if n := len(at.tried); n > 0 {
+		last = at.tried[n-1].Instance
+	}
+	d.Events.Emit(code, events.Fields{"request": req.RequestID, "offers": len(at.tried), "reached": at.reached, "upstream": last,
+		"took_ms": a.Took.Milliseconds(), "service": req.Service, "route": req.Route, "reason": a.Reason,
 		"verdict": a.Verdict.String(), "in_use": a.Load.InUse, "limit": a.Load.Limit, "pace_ms": a.Load.Pace.Milliseconds(),
 		"retry_after_ms": a.RetryAfter.Milliseconds(), "rank": req.Rank, "config": d.View().Next})
 }
--- /dev/null
+++ b/internal/operator/trace.go
@@ -0,0 +1,104 @@
+package operator
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"celerybank/internal/events"
+)
+
+// TraceLine is one log line that belongs to a request.
+type TraceLine struct {
+	Time time.Time `json:"time"`
+	Node string    `json:"node"`
+	// Name is the event's, Meaning what the catalogue says of it.
+	Name    string         `json:"name"`
+	Meaning string         `json:"meaning"`
+	Fields  map[string]any `json:"fields"`
+}
+
+// maxLogLine bounds a line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+// commonFields are in every line and say nothing of the request.
+var commonFields = map[string]bool{"time": true, "node": true, "zone": true, "level": true, "msg": true, "event": true}
+
+// Trace returns the lines about a request, and about the calls made for it, from the logs of
+// many processes, in the order of their times. Lines that are not JSON are passed over.
+func Trace(request string, logs ...io.Reader) ([]TraceLine, error) {
+	var out []TraceLine
+	for _, log := range logs {
+		lines := bufio.NewScanner(log)
+		lines.Buffer(make([]byte, 0, 64<<10), maxLogLine)
+		for lines.Scan() {
+			if l, ok := traceLine(request, lines.Bytes()); ok {
+				out = append(out, l)
+			}
+		}
+		if err := lines.Err(); err != nil {
+			return nil, errors.Wrap(err, "log")
+		}
+	}
+	slices.SortStableFunc(out, func(a, b TraceLine) int { return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Node, b.Node)) })
+	return out, nil
+}
+
+// traceLine reads one line; something may stand before the JSON, as a collector's prefix.
+func traceLine(request string, line []byte) (TraceLine, bool) {
+	text := string(line)
+	if i := strings.IndexByte(text, '{'); i >= 0 {
+		text = text[i:]
+	}
+	var fields map[string]any
+	if !strings.Contains(text, request) || json.Unmarshal([]byte(text), &fields) != nil {
+		return TraceLine{}, false
+	}
+	id, _ := fields["request"].(string)
+	if id != request && !strings.HasPrefix(id, request+".") {
+		return TraceLine{}, false
+	}
+	l := TraceLine{Fields: map[string]any{}}
+	l.Name, _ = fields["msg"].(string)
+	l.Node, _ = fields["node"].(string)
+	if code, ok := fields["event"].(float64); ok {
+		l.Meaning = events.Catalogue[events.Code(code)].Meaning
+	}
+	if at, ok := fields["time"].(string); ok {
+		l.Time, _ = time.Parse(time.RFC3339Nano, at) // a line without a time comes first
+	}
+	for k, v := range fields {
+		if !commonFields[k] {
+			l.Fields[k] = v
+		}
+	}
+	return l, true
+}
+
+// WriteTrace prints lines for a person.
+func WriteTrace(w io.Writer, lines []TraceLine) error {
+	for _, l := range lines {
+		keys := make([]string, 0, len(l.Fields))
+		for k := range l.Fields {
+			keys = append(keys, k)
+		}
+		slices.Sort(keys)
+		var b strings.Builder
+		fmt.Fprintf(&b, "%s %s %s:", l.Time.Format("15:04:05.000"), l.Node, l.Name)
+		for _, k := range keys {
+			fmt.Fprintf(&b, " %s=%v", k, l.Fields[k])
+		}
+		fmt.Fprintf(&b, "\n    %s\n", l.Meaning)
+		if _, err := io.WriteString(w, b.String()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
