--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,8 +67,6 @@
 	noUpstreamRetry = time.Second
 	// notReadyRetry is when a caller of a node without a configuration may come back.
 	notReadyRetry = 500 * time.Millisecond
-	// leastWork is the part of the usual work time that must be left for a request to be offered.
-	leastWork = 0.5
 )
 
 // callRank puts calls of running requests before all others: they finish work that is paid for.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -18,7 +17,6 @@
 
 // testHandler answers with the request's body or path once it is let go.
 type testHandler struct {
-	mu        sync.Mutex
 	hold      map[string]chan struct{} // by path
 	began     chan string
 	cancelled chan string
--- a/internal/orders/follow_test.go
+++ b/internal/orders/follow_test.go
@@ -240,11 +240,13 @@
 		store.order("config", "1")
 		f := startFleet(ctx, store, 2, 2)
 		time.Sleep(5 * time.Second)
+		store.mu.Lock()
 		for _, m := range f.members {
 			store.away[m.Addr] = true
 		}
 		late := gossip.Member{Addr: "10.0.0.9:7000", Zone: "zone-0"}
 		store.away[late.Addr] = true
+		store.mu.Unlock()
 		m := member{f, late}
 		x := NewFollower(NewBoard(testDecoder{}, nil), storeView{store, late.Addr}, m, m, nil)
 		f.mu.Lock()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -33,7 +33,6 @@
 
 	instance string
 	sequence int
-	draining atomic.Bool
 	runs     atomic.Int64
 	// seen has the header of the last request that ran.
 	mu   sync.Mutex
