--- a/internal/canary/assess.go
+++ b/internal/canary/assess.go
@@ -39,7 +39,7 @@
 	badFailures = 4
 	badPart     = 0.12
 	// A quiet route shows fewer failures: these many suffice when they are a larger part.
-	fewFailures = 2
+	fewFailures = 3
 	fewPart     = 0.25
 	// slowAnswers is the least number of answers by which a route is called slow, slowFactor how
 	// much slower than the old version's it then is in the mean.
@@ -85,12 +85,11 @@
 
 // steps lead a version from its first requests to all of them within most of its time. What a bad
 // one may get is a tenth of the requests in its whole time and a few more. The first share is half
-// of that and is held for so long that a fault that shows late still falls into it; the second one
-// is short, so that what is left suffices for the second in which a fault shows that comes with the
-// whole load only.
+// of that and is held for so long that a fault that shows late still falls into it. There is none
+// between it and the whole: a share of a fifth for a second would cost what is left for the second
+// in which a fault shows that comes with the whole load only.
 var steps = []step{
 	{share: 0.05, until: 0.4, answers: 20},
-	{share: 0.2, until: 0.47, answers: 40},
 	{share: 1, until: 0.66, answers: 120},
 }
 
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -24,12 +24,13 @@
 }
 
 var versions = map[string]version{
-	"good":                  {good: true},
-	"good, with few errors": {good: true, fails: func(i int, _ float64, _ time.Duration) bool { return i%200 == 7 }},
-	"fails a third":         {fails: func(i int, _ float64, _ time.Duration) bool { return i%3 == 0 }},
-	"fails after 3.4 s":     {fails: func(i int, _ float64, since time.Duration) bool { return since > 3400*time.Millisecond && i%2 == 0 }},
-	"fails under load":      {fails: func(i int, share float64, _ time.Duration) bool { return share > 0.5 && i%3 == 0 }},
-	"eight times slower":    {slow: 8},
+	"good":                     {good: true},
+	"good, with few errors":    {good: true, fails: func(i int, _ float64, _ time.Duration) bool { return i%200 == 7 }},
+	"fails a third":            {fails: func(i int, _ float64, _ time.Duration) bool { return i%3 == 0 }},
+	"fails after 3.4 s":        {fails: func(i int, _ float64, since time.Duration) bool { return since > 3400*time.Millisecond && i%2 == 0 }},
+	"fails under load":         {fails: func(i int, share float64, _ time.Duration) bool { return share > 0.5 && i%3 == 0 }},
+	"fails a fifth under load": {fails: func(i int, share float64, _ time.Duration) bool { return share > 0.9 && i%5 == 0 }},
+	"eight times slower":       {slow: 8},
 }
 
 // rollout plays a rollout of a service with rate requests a second against the judge's rule,
--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -16,12 +16,12 @@
 
 // Timing of a judge.
 const (
-	judgeInterval = 150 * time.Millisecond
+	judgeInterval = 100 * time.Millisecond
 	// askTimeout bounds the collection of evidence.
 	askTimeout = 300 * time.Millisecond
 	asksAtOnce = 16
 	// recentSpan is the window in which a fault that shows late stands out.
-	recentSpan = 2500 * time.Millisecond
+	recentSpan = 1200 * time.Millisecond
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 1500 * time.Millisecond
 	// firstPause and maxPause bound the wait after a call that the store refused.
