--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -21,7 +21,8 @@
 
 // Wire translates requests and answers to what the upstream speaks.
 type Wire interface {
-	upstreamDialect
+	// Dialect says how the upstream marks its answers.
+	Dialect() upstream.Dialect
 	// Request writes what the upstream is sent: left is what remains of the caller's time.
 	Request(out *fasthttp.Request, req *proxy.Request, instance string, left time.Duration)
 	// Answer reads a whole answer; a spoiled one cannot be handed on.
@@ -31,10 +32,6 @@
 	Health(in *fasthttp.Response) Health
 }
 
-type upstreamDialect interface {
-	Dialect() upstream.Dialect
-}
-
 // Health is what an upstream answers to a probe.
 type Health struct {
 	// Instance is the process that answered; empty when it did not say.
@@ -68,6 +65,7 @@
 
 	running running
 
+	// mu makes a change of the upstream and of the gate one step.
 	mu sync.Mutex
 	// doubtUntil is until when the upstream counts as cold because its zone came back: it may be so without having said it.
 	doubtUntil time.Time
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -27,7 +27,8 @@
 	Handler Handler
 	// Limits returns what the configuration in force bounds.
 	Limits func() routes.Limits
-	// BodyBytes bounds a body whatever the configuration says, and AllBodies those of all requests together.
+	// BodyBytes bounds one body whatever the configuration says; AllBodies bounds those that are
+	// being read at one time.
 	BodyBytes int
 	AllBodies int64
 }
--- a/internal/sidecar/life.go
+++ b/internal/sidecar/life.go
@@ -14,8 +14,7 @@
 // lifecycle is what the node knows of its own start, stops and sleeps.
 type lifecycle struct {
 	draining atomic.Bool
-	// doubt is until when the node trusts nothing that it believes of others, in unix nanoseconds
-	// of the monotonic clock's wall equivalent; 0 when it does.
+	// doubt is until when the node serves nothing after a sleep, in unix nanoseconds.
 	doubt atomic.Int64
 }
 
