Bound a bad version by the settings' share and slack, not by constants

Cause: canary_share and canary_slack were read and handed over, and the first share was the constant 0.05, the least evidence 20 answers: right for 0.1 and 50 only. Change: the first share is half of the bound, a quiet service's first share spends 0.56 of the slack, and the answers asked of it follow. TestVersionsEndAsTheyShould plays four bounds; with 0.05 and 25 it failed first (46 requests, 43 allowed, with the share made relative alone).

--- a/internal/canary/assess.go
+++ b/internal/canary/assess.go
@@ -75,7 +75,7 @@
 
 // step is one share of the traffic on the way of a new version.
 type step struct {
-	// share of the requests that goes to the new version.
+	// share of the requests that goes to the new version; 0 for the first one, which follows the bound.
 	share float64
 	// until is the part of the rollout's duration up to which the share stays at least.
 	until float64
@@ -83,13 +83,16 @@
 	answers uint64
 }
 
-// steps lead a version from its first requests to all of them within most of its time. What a bad
-// one may get is a tenth of the requests in its whole time and a few more. The first share is half
-// of that and is held for so long that a fault that shows late still falls into it. There is none
-// between it and the whole: a share of a fifth for a second would cost what is left for the second
-// in which a fault shows that comes with the whole load only.
+// Bound is the operator's bound on a bad version: of the requests that reach its service in the
+// rollout's whole time it may get Share, and Slack requests beside them.
+type Bound struct{ Share, Slack float64 }
+
+// steps lead a version from its first requests to all of them within most of its time. The first
+// share is half of the bound and is held for so long that a fault that shows late still falls into
+// it. There is none between it and the whole: a share of a fifth for a second would cost what is
+// left for the second in which a fault shows that comes with the whole load only.
 var steps = []step{
-	{share: 0.05, until: 0.4, answers: 20},
+	{until: 0.4, answers: 20},
 	{share: 1, until: 0.66, answers: 120},
 }
 
@@ -97,20 +100,41 @@
 // a second at most with a slow store.
 const finishBy = 0.9
 
-// firstAnswers is about how many answers the first share should bring: with a fault in a third of
-// them it shows for certain, and it is half of the slack that a bad version has at a quiet service.
+// firstPart is the part of the bound that the first share spends; the rest is for the second in
+// which a fault shows that comes with the whole load.
+const firstPart = 0.5
+
+// firstAnswers bounds what a quiet service's first share should bring: with a fault in a third of
+// so many answers it shows for certain.
 const firstAnswers = 28
 
 // rateSpan is how long the requests of a service are counted before its first share is chosen.
 const rateSpan = 1200 * time.Millisecond
 
+// firstSlack is the part of the slack that a quiet service's first share may spend.
+const firstSlack = 0.56
+
+// firstSeen is the part of the answers that the first share should bring which suffices to go on.
+const firstSeen = 0.72
+
 // maxFirst bounds the first share of a quiet service.
 const maxFirst = 0.25
 
 // firstShare is the first share of a service with rate requests a second.
-func firstShare(rate float64, duration time.Duration) float64 {
+func firstShare(bound Bound, rate float64, duration time.Duration) float64 {
 	expected := rate * steps[0].until * duration.Seconds()
-	return min(max(steps[0].share, firstAnswers/max(expected, 1)), maxFirst)
+	return min(max(firstPart*bound.Share, bound.firstAnswers()/max(expected, 1)), maxFirst)
+}
+
+// firstAnswers is about how many answers the first share of a quiet service should bring.
+func (b Bound) firstAnswers() float64 { return min(firstAnswers, firstSlack*b.Slack) }
+
+// answers is how many must have been seen at a step: of the first share, most of those expected.
+func (b Bound) answers(at int) uint64 {
+	if at == 0 {
+		return min(steps[at].answers, uint64(firstSeen*b.firstAnswers()))
+	}
+	return steps[at].answers
 }
 
 // decision is what a judge does next.
@@ -126,16 +150,16 @@
 
 // decide looks at a rollout that has run for elapsed of duration and stands at a step.
 // held is how long it has stood there; oldBusy counts requests at upstreams of other versions.
-func decide(old, next tally, at int, elapsed, held, duration time.Duration, upstreams, oldBusy int) decision {
-	d := decideStep(old, next, at, elapsed, held, duration, upstreams, oldBusy)
+func decide(bound Bound, old, next tally, at int, elapsed, held, duration time.Duration, upstreams, oldBusy int) decision {
+	d := decideStep(bound, old, next, at, elapsed, held, duration, upstreams, oldBusy)
 	if d.step >= 0 {
 		rate := float64(old.answered()+next.answered()) / max(elapsed.Seconds(), 1)
-		d.share = max(steps[d.step].share, firstShare(rate, duration))
+		d.share = max(steps[d.step].share, firstShare(bound, rate, duration))
 	}
 	return d
 }
 
-func decideStep(old, next tally, at int, elapsed, held, duration time.Duration, upstreams, oldBusy int) decision {
+func decideStep(bound Bound, old, next tally, at int, elapsed, held, duration time.Duration, upstreams, oldBusy int) decision {
 	if reason := assess(old, next); reason != "" {
 		return decision{step: at, reason: reason}
 	}
@@ -147,7 +171,7 @@
 		return late(at, part, held, next, "no upstream of the version")
 	}
 	s := steps[at]
-	if part < s.until || held < minHeld || next.answered() < s.answers {
+	if part < s.until || held < minHeld || next.answered() < bound.answers(at) {
 		return late(at, part, held, next, fmt.Sprintf("%d answers at share %.2f", next.answered(), s.share))
 	}
 	if at == len(steps)-1 {
--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -35,8 +35,7 @@
 	Events   *events.Recorder
 	// Running counts the requests at the upstream of this host.
 	Running func() int
-	// Share and Slack bound what a bad version may get of a service's requests.
-	Share, Slack float64
+	Bound   Bound
 }
 
 // FactKind is the kind of the facts that spread the state of rollouts.
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -8,11 +8,8 @@
 	"celerybank/internal/orders"
 )
 
-// The platform's bounds on a bad version.
-const (
-	canaryShare = 0.1
-	canarySlack = 50
-)
+// bounds are those of the known deployments first, then tighter and wider ones.
+var bounds = []Bound{{0.1, 50}, {0.05, 25}, {0.2, 50}, {0.05, 50}}
 
 // version says how a new version behaves at a moment: whether request number i fails, and
 // how long it takes against the old one's 100 ms.
@@ -35,7 +32,7 @@
 
 // rollout plays a rollout of a service with rate requests a second against the judge's rule,
 // and returns what the new version got and how it ended.
-func play(v version, rate float64, duration time.Duration) (got int, outcome orders.Outcome) {
+func play(bound Bound, v version, rate float64, duration time.Duration) (got int, outcome orders.Outcome) {
 	const (
 		tick = judgeInterval
 		// news of a step takes this long to reach the nodes, that of a withdrawal to reach the owners.
@@ -82,7 +79,7 @@
 		o, nt := tally{}, tally{}
 		o.add(RouteEvidence{Route: "r", Recent: sums(old, now, recentSpan), All: sums(old, now, duration)})
 		nt.add(RouteEvidence{Route: "r", Recent: sums(next, now, recentSpan), All: sums(next, now, duration)})
-		d := decide(o, nt, step, now, now-stepAt, duration, 4, 0)
+		d := decide(bound, o, nt, step, now, now-stepAt, duration, 4, 0)
 		switch {
 		case d.reason != "":
 			return got + int(rate*share*withdraw.Seconds()), orders.RolledBack
@@ -101,15 +98,17 @@
 	for name, v := range versions {
 		for _, rate := range []float64{30, 60, 150, 300, 700} {
 			for _, duration := range []time.Duration{12 * time.Second, 15 * time.Second, 30 * time.Second} {
-				t.Run(fmt.Sprintf("%s, %.0f a second, %v", name, rate, duration), func(t *testing.T) {
-					got, outcome := play(v, rate, duration)
-					switch allowed := canaryShare*rate*duration.Seconds() + canarySlack; {
-					case v.good && outcome != orders.Completed:
-						t.Errorf("%v", outcome)
-					case !v.good && (outcome != orders.RolledBack || float64(got) > allowed):
-						t.Errorf("%v with %d requests, allowed %.0f", outcome, got, allowed)
-					}
-				})
+				for _, b := range bounds {
+					t.Run(fmt.Sprintf("%s, %.0f a second, %v, bound %v", name, rate, duration, b), func(t *testing.T) {
+						got, outcome := play(b, v, rate, duration)
+						switch allowed := b.Share*rate*duration.Seconds() + b.Slack; {
+						case v.good && outcome != orders.Completed:
+							t.Errorf("%v", outcome)
+						case !v.good && (outcome != orders.RolledBack || float64(got) > allowed):
+							t.Errorf("%v with %d requests, allowed %.0f", outcome, got, allowed)
+						}
+					})
+				}
 			}
 		}
 	}
@@ -131,23 +130,23 @@
 	n := tally{}
 	n.add(RouteEvidence{Route: "r", All: Counts{Total: 500, Millis: 50000}})
 	last := len(steps) - 1
-	if d := decide(tally{}, n, last, 7*time.Second, 3*time.Second, 10*time.Second, 4, 1); d.done {
+	if d := decide(bounds[0], tally{}, n, last, 7*time.Second, 3*time.Second, 10*time.Second, 4, 1); d.done {
 		t.Error("done with a request at an old upstream")
 	}
-	if d := decide(tally{}, n, last, 7*time.Second, 3*time.Second, 10*time.Second, 4, 0); !d.done {
+	if d := decide(bounds[0], tally{}, n, last, 7*time.Second, 3*time.Second, 10*time.Second, 4, 0); !d.done {
 		t.Error("not done")
 	}
-	if d := decide(tally{}, n, last, 9100*time.Millisecond, 3*time.Second, 10*time.Second, 4, 1); !d.done {
+	if d := decide(bounds[0], tally{}, n, last, 9100*time.Millisecond, 3*time.Second, 10*time.Second, 4, 1); !d.done {
 		t.Error("not done in time")
 	}
 }
 
 // Without an upstream of the version its rollout is taken back in time.
 func TestMissingVersionIsTakenBack(t *testing.T) {
-	if d := decide(tally{}, tally{}, -1, 8*time.Second, 8*time.Second, 10*time.Second, 0, 0); d.reason != "" {
+	if d := decide(bounds[0], tally{}, tally{}, -1, 8*time.Second, 8*time.Second, 10*time.Second, 0, 0); d.reason != "" {
 		t.Error("taken back early")
 	}
-	if d := decide(tally{}, tally{}, -1, 9200*time.Millisecond, 9*time.Second, 10*time.Second, 0, 0); d.reason == "" {
+	if d := decide(bounds[0], tally{}, tally{}, -1, 9200*time.Millisecond, 9*time.Second, 10*time.Second, 0, 0); d.reason == "" {
 		t.Error("not taken back")
 	}
 }
--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -135,7 +135,7 @@
 // advance collects evidence and takes the next step.
 func (c *Canaries) advance(ctx context.Context, r rollout) {
 	e := c.collect(ctx, r.order)
-	d := decide(e.old, e.next, r.state.Step, time.Since(r.seen), time.Since(r.changed), r.order.Duration, e.upstreams, e.oldBusy)
+	d := decide(c.Bound, e.old, e.next, r.state.Step, time.Since(r.seen), time.Since(r.changed), r.order.Duration, e.upstreams, e.oldBusy)
 	s := r.state
 	switch {
 	case d.reason != "":
