--- a/cmd/celerysidecar/main.go
+++ b/cmd/celerysidecar/main.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"strconv"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -29,12 +30,15 @@
 		platform.SettingsVariable+"=settings.json celerysidecar\n         celerysidecar --settings settings.json --check").Version(command.Version)
 	app.HelpFlag.Short('h')
 	path := app.Flag("settings", "File with the platform's settings.").Short('s').Default(platform.SettingsPath()).String()
+	var lines events.Limits
+	app.Flag("log-lines", "Lines of one event in a second.").Default(strconv.Itoa(events.LinesPerSecond)).IntVar(&lines.LinesPerSecond)
+	app.Flag("log-served", "Write a line for one in so many requests that went well; 0: for none.").Default("0").IntVar(&lines.ServedEvery)
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	command.Exit("celerysidecar", run(*path, *check))
+	command.Exit("celerysidecar", run(*path, lines, *check))
 }
 
-func run(path string, checkOnly bool) error {
+func run(path string, lines events.Limits, checkOnly bool) error {
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -50,6 +54,7 @@
 	logger, flush := command.NewLog()
 	defer flush()
 	ev := events.New(s.Name, s.Zone, logger)
+	ev.Limit(lines)
 	var network peer.TCP
 	if ap, err := netip.ParseAddrPort(s.Peers); err == nil {
 		network.From = ap.Addr().AsSlice()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -267,24 +267,18 @@
 	return a
 }
 
-// report writes the line of a request that was not served.
+// report writes the line of a request that was not served, or of a sample of those that were.
 func (d *Dispatcher) report(at *attempt, a *proxy.Answer) {
-	if a.Reason == proxy.ReasonNone {
+	code, ok := proxy.EventOf(a)
+	if !ok && !d.Events.Sample() {
 		return
 	}
-	code := events.CallFailed
-	switch {
-	case a.Reason == proxy.ReasonCancelled:
-		code = events.CallCancelled
-	case a.Verdict == verdict.NotRun:
-		code = events.CallRefused
-	}
 	req, last := at.req, ""
 	if n := len(at.tried); n > 0 {
 		last = at.tried[n-1].Instance
 	}
 	d.Events.Emit(code, events.Fields{"request": req.RequestID, "offers": len(at.tried), "reached": at.reached, "upstream": last,
-		"took_ms": a.Took.Milliseconds(), "service": req.Service, "route": req.Route, "reason": a.Reason,
+		"took_ms": a.Took.Milliseconds(), "service": req.Service, "route": req.Route, "reason": a.Reason, "status": a.Status,
 		"verdict": a.Verdict.String(), "in_use": a.Load.InUse, "limit": a.Load.Limit, "pace_ms": a.Load.Pace.Milliseconds(),
 		"retry_after_ms": a.RetryAfter.Milliseconds(), "rank": req.Rank, "config": d.View().Next})
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -39,6 +39,8 @@
 	log        *logrus.Logger
 	clock      Clock
 
+	served served
+
 	mu    sync.Mutex
 	limit limiter
 	seq   uint64
@@ -51,6 +53,17 @@
 	return &Recorder{node: node, zone: zone, log: log, limit: limiter{perSecond: LinesPerSecond}}
 }
 
+// Limit changes what is written from now on.
+func (r *Recorder) Limit(l Limits) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit.perSecond = l.LinesPerSecond
+	r.served.every.Store(int64(l.ServedEvery))
+}
+
+// Sample reports whether a request that went well gets a line of its own.
+func (r *Recorder) Sample() bool { return r != nil && r.served.sample() }
+
 // Subscribe calls f for each later event, in order, while the recorder's lock is held:
 // f must not block and must not emit.
 func (r *Recorder) Subscribe(f func(Event)) {
--- a/internal/events/sink.go
+++ b/internal/events/sink.go
@@ -61,39 +61,3 @@
 	}
 	_, _ = s.w.Write(append(text, '\n')) // as above
 }
-
-// LinesPerSecond bounds the log lines of one event in a second; the time line and the counters
-// have all of them. At a few dozen kinds of events a node in trouble writes less than 1 MB/s.
-const LinesPerSecond = 40
-
-// limiter bounds the lines of each event.
-type limiter struct {
-	perSecond int
-	second    int64
-	counts    map[Code]int
-}
-
-// allow counts one line of an event; it returns false for one too many, and what was left out in
-// the second before, once.
-func (l *limiter) allow(code Code, now time.Time) (ok bool, left map[Code]int) {
-	if s := now.Unix(); s != l.second {
-		left = l.over()
-		l.second, l.counts = s, map[Code]int{}
-	}
-	l.counts[code]++
-	return l.counts[code] <= l.perSecond, left
-}
-
-// over returns how many lines of each event were left out.
-func (l *limiter) over() map[Code]int {
-	var out map[Code]int
-	for code, n := range l.counts {
-		if n > l.perSecond {
-			if out == nil {
-				out = map[Code]int{}
-			}
-			out[code] = n - l.perSecond
-		}
-	}
-	return out
-}
--- a/internal/events/sink_test.go
+++ b/internal/events/sink_test.go
@@ -72,3 +72,33 @@
 		}
 	})
 }
+
+// The bound on lines and the sample of served requests are settings.
+func TestLimitsAreSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b bytes.Buffer
+		log := logrus.New()
+		log.SetOutput(&b)
+		log.SetFormatter(&logrus.JSONFormatter{})
+		r := New("n", "z", log)
+		sampled := 0
+		for range 100 {
+			if r.Sample() {
+				sampled++
+			}
+		}
+		if sampled != 0 {
+			t.Errorf("%d sampled by default", sampled)
+		}
+		r.Limit(Limits{LinesPerSecond: 3, ServedEvery: 10})
+		for range 100 {
+			r.Emit(CallRefused, nil)
+			if r.Sample() {
+				sampled++
+			}
+		}
+		if lines := strings.Count(b.String(), `"msg":"call-refused"`); lines != 3 || sampled != 10 {
+			t.Errorf("%d lines, %d sampled; want 3 and 10", lines, sampled)
+		}
+	})
+}
--- a/internal/proxy/http.go
+++ b/internal/proxy/http.go
@@ -90,7 +90,9 @@
 		h.write(c, &Answer{Verdict: verdict.NotRun, Reason: ReasonBadRequest, Status: fasthttp.StatusBadRequest, Body: []byte(problem + "\n")})
 		return
 	}
+	start := time.Now()
 	a := h.Call(context.Background(), req, string(c.Path()), timeout)
+	h.report(c, req, a, time.Since(start))
 	switch a.Reason {
 	case ReasonTooDeep:
 		h.events.Emit(events.CallTooDeep, events.Fields{"service": req.Service, "depth": req.Hop.Depth})
@@ -100,6 +102,20 @@
 	h.write(c, a)
 }
 
+// requestHeader is the field in which callers commonly name a request; it serves the log only.
+const requestHeader = "X-Request-Id"
+
+// report writes the line of a request that was not served, or of a sample of those that were.
+func (h *Handler) report(c *fasthttp.RequestCtx, req *Request, a *Answer, took time.Duration) {
+	code, ok := EventOf(a)
+	if !ok && !h.events.Sample() {
+		return
+	}
+	h.events.Emit(code, events.Fields{"request": string(c.Request.Header.Peek(requestHeader)), "service": req.Service, "path": string(c.Path()),
+		"reason": a.Reason, "status": a.Status, "verdict": a.Verdict.String(), "took_ms": took.Milliseconds(), "in_use": a.Load.InUse,
+		"limit": a.Load.Limit, "config": h.entry.router.Table().Version})
+}
+
 // Call answers one request that was read, from HTTP or by a test.
 func (h *Handler) Call(ctx context.Context, req *Request, path string, timeout time.Duration) *Answer {
 	select {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"celerybank/internal/duration"
+	"celerybank/internal/events"
 	"celerybank/internal/fault"
 	"celerybank/internal/schema"
 )
@@ -44,6 +45,17 @@
 	// Drain bounds how long a stop waits for calls in flight. Default 10s: long
 	// enough for the slowest route, short enough for a replacement of the host.
 	Drain Duration `json:"drain"`
+	// Log bounds what the node writes.
+	Log Log `json:"log"`
+}
+
+// Log bounds the lines on standard output; counters and the time line have all events.
+type Log struct {
+	// LinesPerSecond bounds the lines of one event in a second. Default 40; more cost processor
+	// time when much goes wrong.
+	LinesPerSecond int `json:"lines_per_second"`
+	// ServedEvery writes a line for one in so many requests that went well. Default 0: for none.
+	ServedEvery int `json:"served_every"`
 }
 
 // Listen has the addresses of a node.
@@ -84,6 +96,7 @@
 		Limits: Limits{BodyBytes: 1 << 20, CallTimeout: Duration(5 * time.Second),
 			UpstreamConnections: 120, ControlBytesPerSecond: 17_000},
 		Drain: Duration(10 * time.Second),
+		Log:   Log{LinesPerSecond: events.LinesPerSecond},
 	}
 }
 
