Remember that an upstream leaves, so that a later order does not open its gate

The owner closed the gate and kept the upstream as ready in its memory; the next configuration (Refresh) or a zone that came back (Doubt) opened the gate again. Late news at the entries was ruled out: the owner itself sent the request. Change: the leaving state is kept; one that was never ready here is forgotten. Test: TestOrdersDoNotReopenALeavingUpstream, both ways, failed first.

--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -110,6 +110,12 @@
 		o.up.Store(nil)
 		o.gate.Close(proxy.ReasonNoUpstream)
 	case u.State != registry.Ready:
+		if old != nil && old.Instance == u.Instance {
+			// What is remembered must say that it leaves: a later order would open the gate again.
+			o.up.Store(&current{Upstream: u, client: old.client})
+		} else {
+			o.up.Store(nil)
+		}
 		o.gate.Close(proxy.ReasonDraining)
 	case old != nil && old.Instance == u.Instance && old.Born == u.Born:
 		old.down.Store(false)
