--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -140,7 +140,7 @@
 	shunCost = 10
 	// firstUsual is the work time assumed before any answer on a route.
 	firstUsual = 100 * time.Millisecond
-	// farTrip is the time to another zone and back.
+	// farTrip is the least time to another zone and back.
 	farTrip = 3 * time.Millisecond
 	// jitterCost breaks ties, so that nodes that know the same do not all choose the same.
 	jitterCost = 0.02
@@ -192,12 +192,12 @@
 
 // cost is the expected loss of sending a request to e.
 func (b *Balancer) cost(e *Endpoint, s state, usual, target time.Duration) float64 {
-	latency := float64(usual)*s.speed + float64(s.wait)
-	cost := s.errors * errorCost
+	way, cost := s.way, s.errors*errorCost
 	if e.Zone != b.zone {
 		cost += farCost
-		latency += float64(farTrip)
+		way = max(way, farTrip)
 	}
+	latency := float64(usual)*s.speed + float64(s.wait+way)
 	if s.use > crowdStart {
 		cost += crowdCost * (s.use - crowdStart) / (1 - crowdStart)
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -133,3 +133,25 @@
 		t.Errorf("%s was chosen", e.Zone)
 	}
 }
+
+// Pattern: hosts of ours turn slow while their upstreams are well. Requests avoid an owner whose
+// answers are long on their way, also when none comes at all, and try it again after a while.
+func TestSlowOwnerIsAvoidedAndTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, zones := newBalancer()
+		zones["a"].Travelled(5*time.Millisecond, time.Now())
+		if got := picks(b, ask, 100); got["a"] != 100 {
+			t.Errorf("a usual way: %v", got)
+		}
+		for range 3 {
+			zones["a"].Travelled(600*time.Millisecond, time.Now())
+		}
+		if got := picks(b, ask, 100); got["a"] != 0 {
+			t.Errorf("a long way: %v", got)
+		}
+		time.Sleep(4 * fade)
+		if got := picks(b, ask, 100); got["a"] == 0 {
+			t.Errorf("after a while: %v", got)
+		}
+	})
+}
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -30,6 +30,11 @@
 	// requests that failed there. Both fade from learnt on.
 	speed, errors float64
 	learnt        time.Time
+	// way is the mean time that requests spend on their way to the owner and back, the owner's own
+	// delays included: a host that lacks processor time is slow though its upstream is not. It
+	// fades from travelled on.
+	way       time.Duration
+	travelled time.Time
 	// shunned is until when it is the last choice, after failures in a row.
 	shunned  time.Time
 	failures int
@@ -42,6 +47,8 @@
 	// speedWeight and errorWeight are the weights of one answer.
 	speedWeight = 0.15
 	errorWeight = 0.15
+	// wayWeight is the weight of one request's time on its way.
+	wayWeight = 0.25
 	// fade halves what is known of errors and speed in this time without an answer, so that an
 	// upstream that has recovered is tried again.
 	fade = 4 * time.Second
@@ -101,6 +108,22 @@
 	e.errors += errorWeight * (bad - e.errors)
 }
 
+// Travelled takes in how long one request was on its way to the owner and back.
+func (e *Endpoint) Travelled(way time.Duration, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	was := e.wayAt(now)
+	e.way, e.travelled = was+time.Duration(wayWeight*float64(way-was)), now
+}
+
+// wayAt is the time on the way as it is remembered now. e.mu is held.
+func (e *Endpoint) wayAt(now time.Time) time.Duration {
+	if e.travelled.IsZero() {
+		return 0
+	}
+	return time.Duration(float64(e.way) * math.Exp2(-float64(now.Sub(e.travelled))/float64(fade)))
+}
+
 // Shed takes in that the upstream itself refused a request.
 func (e *Endpoint) Shed(now time.Time) {
 	e.mu.Lock()
@@ -142,7 +165,7 @@
 // state is what a choice needs to know of an endpoint.
 type state struct {
 	speed, errors float64
-	wait          time.Duration
+	wait, way     time.Duration
 	// use is the part of the slots in use.
 	use     float64
 	shunned bool
@@ -157,7 +180,7 @@
 		inUse -= float64(old) / float64(e.pace) * float64(e.limit)
 	}
 	inUse = max(inUse, float64(e.inflight))
-	s := state{speed: e.speed, errors: e.errors, use: inUse / float64(e.limit), shunned: e.doubtful || now.Before(e.shunned)}
+	s := state{speed: e.speed, errors: e.errors, way: e.wayAt(now), use: inUse / float64(e.limit), shunned: e.doubtful || now.Before(e.shunned)}
 	if over := inUse + 1 - float64(e.limit); over > 0 {
 		s.wait = time.Duration(over * float64(e.pace) / float64(e.limit))
 	}
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -182,8 +182,9 @@
 
 // Handle runs one request at the upstream, if it is admitted. It implements proxy.Runner.
 func (o *Owner) Handle(ctx context.Context, req *proxy.Request) *proxy.Answer {
+	start := time.Now()
 	a := o.handle(ctx, req)
-	a.Load = o.gate.Load()
+	a.Load, a.Held = o.gate.Load(), time.Since(start)
 	return a
 }
 
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -5,12 +5,26 @@
 	"time"
 )
 
-// budgetShare is the part of the fleet's retry budget that nodes use: windows slide and
-// nodes do not see each other's repeats.
-const budgetShare = 0.4
+// What nodes use of the fleet's retry budget: what was saved before a window is spent in it beside
+// what is earned in it, windows slide, and nodes do not see each other's repeats.
+const (
+	ratioShare = 0.4
+	slackShare = 0.25
+)
+
+// Costs of a repeat. One of a request that ran before repeats up to two calls as well; one that
+// upstreams refused is a single arrival, and the shares above allow for twice what it is.
+const (
+	notRunCost = 0.65
+	ranCost    = 2.5
+)
 
-// ranCost is what the repeat of a request costs that ran before: itself and up to two calls.
-const ranCost = 2.5
+// callReserve is kept for calls of running requests: their callers do not come again, and without
+// them work that is paid for is lost.
+const callReserve = 0.65
+
+// leastSaved is what a node may save in any case: one repeat of each kind.
+const leastSaved = ranCost + callReserve
 
 // Budget bounds the repeats of one node so that those of all nodes together stay within
 // the platform's bound, by arithmetic alone: each node earns a part of a repeat with each
@@ -45,15 +59,16 @@
 		b.services = map[string]*tokens{}
 	}
 	now := time.Now()
-	slack := budgetShare * b.Slack / float64(max(1, b.Nodes()))
+	slack := slackShare * b.Slack / float64(max(1, b.Nodes()))
 	t := b.services[service]
 	if t == nil {
 		t = &tokens{have: slack / 2, filled: now}
 		b.services[service] = t
 	}
-	t.have += slack * float64(now.Sub(t.filled)) / float64(b.Window)
+	// What is saved nears the node's share of the slack: requests of long ago allow nothing now.
+	t.have += (slack - t.have) * min(1, float64(now.Sub(t.filled))/float64(b.Window))
 	t.filled = now
-	t.have = min(t.have, max(slack, 3))
+	t.have = min(t.have, max(slack, leastSaved))
 	return t
 }
 
@@ -61,20 +76,25 @@
 func (b *Budget) Earn(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(service).have += budgetShare * b.Ratio
+	b.of(service).have += ratioShare * b.Ratio
 }
 
 // Spend pays for one repeat, or reports that there is not enough left. A repeat of a request
-// that has run costs more, as it repeats the calls that the first made.
-func (b *Budget) Spend(service string, ran bool) bool {
+// that has run costs more, as it repeats the calls that the first made; call says that a running
+// request makes it.
+func (b *Budget) Spend(service string, ran, call bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	cost := 1.0
+	cost := notRunCost
 	if ran {
 		cost = ranCost
 	}
+	least := cost
+	if !call {
+		least += callReserve
+	}
 	t := b.of(service)
-	if t.have < cost {
+	if t.have < least {
 		return false
 	}
 	t.have -= cost
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -181,7 +181,11 @@
 		d.learn(e, &r, a)
 		return a
 	}
+	start := time.Now()
 	a := proxy.CallOwner(ctx, d.Peers, e.Addr, &r)
+	if now := time.Now(); a.Held > 0 || a.Reason == proxy.ReasonDeadline {
+		e.Travelled(now.Sub(start)-a.Held, now)
+	}
 	d.learn(e, &r, a)
 	return a
 }
@@ -238,7 +242,7 @@
 		return false
 	case at.reached > 0 && at.req.Hop.Retry:
 		return false // it belongs to a repeat, which is not multiplied again
-	case at.reached > 0 && !d.Budget.Spend(at.req.Service, a.Verdict != verdict.NotRun):
+	case at.reached > 0 && !d.Budget.Spend(at.req.Service, a.Verdict != verdict.NotRun, at.req.Rank == callRank):
 		return false
 	}
 	if at.reached > 0 {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -247,7 +247,7 @@
 				for range r {
 					b := budgets[rng.IntN(nodes)]
 					b.Earn("s")
-					if b.Spend("s", rng.IntN(2) == 0) {
+					if b.Spend("s", rng.IntN(2) == 0, rng.IntN(2) == 0) {
 						n++
 					}
 				}
@@ -268,9 +268,66 @@
 
 func TestBudgetIsPerService(t *testing.T) {
 	b := &Budget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Nodes: func() int { return 1 }}
-	for b.Spend("one", false) {
+	for b.Spend("one", false, false) {
 	}
-	if !b.Spend("two", false) {
+	if !b.Spend("two", false, false) {
 		t.Error("the budget of one service is spent by another")
 	}
 }
+
+// Pattern: after a calm time every upstream of a service refuses. What nodes have saved, together
+// with what they earn, stays within the bound, at many sizes and rates.
+func TestSavedRepeatsOfTheFleetStayWithinTheBound(t *testing.T) {
+	const ratio, window, tick = 0.2, 10 * time.Second, 100 * time.Millisecond
+	for _, nodes := range []int{1, 4, 16, 70, 300} {
+		for _, perS := range []int{10, 100, 1000} {
+			slack := max(60, 2.5*float64(nodes)) // the deployments' slack grows with their hosts
+			synctest.Test(t, func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(uint64(nodes), uint64(perS)))
+				budgets := make([]*Budget, nodes)
+				for i := range budgets {
+					budgets[i] = &Budget{Ratio: ratio, Slack: slack, Window: window, Nodes: func() int { return nodes }}
+				}
+				repeats := 0
+				for now := time.Duration(0); now < 4*window; now += tick {
+					for range perS / 10 {
+						b := budgets[rng.IntN(nodes)]
+						b.Earn("s")
+						for now >= 3*window && b.Spend("s", false, true) {
+							repeats++
+						}
+					}
+					time.Sleep(tick)
+				}
+				if bound := ratio*float64(perS)*window.Seconds() + slack; float64(repeats) > bound {
+					t.Errorf("%d nodes, %d requests a second: %d repeats in a window, bound %.0f", nodes, perS, repeats, bound)
+				}
+			})
+		}
+	}
+}
+
+// Pattern: all upstreams of a service shed half. What may be sent again goes to the calls of running
+// requests first: their callers do not come again, and the work of the request is paid for.
+func TestShortBudgetServesCallsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &Budget{Ratio: 0.2, Slack: 60, Window: 10 * time.Second, Nodes: func() int { return 16 }}
+		rng := rand.New(rand.NewPCG(5, 1))
+		var asked, served [2]int
+		for range 20_000 {
+			call := rng.IntN(2)
+			b.Earn("s")
+			if rng.IntN(2) == 0 { // refused
+				asked[call]++
+				if b.Spend("s", false, call == 1) {
+					served[call]++
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+		calls, others := float64(served[1])/float64(asked[1]), float64(served[0])/float64(asked[0])
+		if calls < 2*others {
+			t.Errorf("%.2f of the calls and %.2f of the other requests are sent again", calls, others)
+		}
+	})
+}
--- a/internal/events/sidecar.go
+++ b/internal/events/sidecar.go
@@ -9,6 +9,7 @@
 	OrderRefused    Code = 222
 	Reloaded        Code = 104
 	Woken           Code = 105
+	Strained        Code = 106
 	HostsListed     Code = 330
 	AnnounceIgnored Code = 520
 	AnnounceInvalid Code = 521
@@ -32,6 +33,7 @@
 	OrderRefused:    {"order-refused", logrus.WarnLevel, "A record of the operator cannot be used and changes nothing; the field reason says why."},
 	Reloaded:        {"reloaded", logrus.InfoLevel, "The settings file was read again."},
 	Woken:           {"woken", logrus.WarnLevel, "The process stood still; what it believed of others is checked again before it serves."},
+	Strained:        {"strained", logrus.WarnLevel, "The process gets to its work late: its host lacks processor time. It asks for no new callers for a while."},
 	HostsListed:     {"hosts-listed", logrus.InfoLevel, "The list of started nodes was read from the store to find peers."},
 	AnnounceIgnored: {"announcement-ignored", logrus.InfoLevel, "An announcement is older than what is known of its upstream, or of another host."},
 	AnnounceInvalid: {"announcement-invalid", logrus.WarnLevel, "An announcement cannot be used; the field reason says why."},
--- a/internal/events/sink.go
+++ b/internal/events/sink.go
@@ -35,7 +35,7 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines were dropped and not yet reported.
+// Dropped returns how many lines were dropped since the start.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
 // Flush waits until the lines that were queued are written, at most for limit.
@@ -45,9 +45,11 @@
 }
 
 func (s *Sink) run() {
+	reported := int64(0)
 	for line := range s.lines {
-		if n := s.dropped.Swap(0); n > 0 {
-			s.report(n)
+		if n := s.dropped.Load(); n > reported {
+			s.report(n - reported)
+			reported = n
 		}
 		_, _ = s.w.Write(line) // without a reader there is nobody to tell
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -78,7 +78,7 @@
 		h.Stamp = c.clock.Now()
 	}
 	buf := frameBuffers.Get().(*frameBuffer)
-	defer frameBuffers.Put(buf)
+	defer buf.release()
 	if err := buf.encode(&h, body); err != nil {
 		return err
 	}
@@ -126,6 +126,14 @@
 	return nil
 }
 
+// release gives the buffer back, unless a large message has grown it.
+func (f *frameBuffer) release() {
+	if cap(f.b) > keptBuffer {
+		f.b = nil
+	}
+	frameBuffers.Put(f)
+}
+
 var frameBuffers = sync.Pool{New: func() any { return new(frameBuffer) }}
 
 // readHeader reads the next frame whole and decodes its header.
@@ -155,12 +163,15 @@
 }
 
 // readChunk bounds what is allocated before the bytes have arrived, so that a
-// forged length costs its sender as much as it costs the reader. A larger buffer
-// is not kept for the next frame.
+// forged length costs its sender as much as it costs the reader.
 const readChunk = 64 << 10
 
+// keptBuffer bounds the buffer that is kept for the next frame, in bytes: most messages are
+// smaller, and a node has two connections with each of its peers.
+const keptBuffer = 8 << 10
+
 func (c *codec) readFrame(n int) error {
-	if cap(c.buf) > readChunk {
+	if cap(c.buf) > keptBuffer {
 		c.buf = nil
 	}
 	c.buf = slices.Grow(c.buf[:0], min(n, readChunk))
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -121,6 +121,8 @@
 	Took time.Duration `msgpack:"t"`
 	// RetryAfter is when room is expected, with a refusal for want of it.
 	RetryAfter time.Duration `msgpack:"a"`
+	// Held is how long the owner had the request, its wait for room included; 0 when no owner says.
+	Held time.Duration `msgpack:"e"`
 }
 
 // Load is what an owner says of its upstream with each answer.
--- a/internal/sidecar/life.go
+++ b/internal/sidecar/life.go
@@ -15,7 +15,8 @@
 type lifecycle struct {
 	draining atomic.Bool
 	// doubt is until when the node serves nothing after a sleep, in unix nanoseconds.
-	doubt atomic.Int64
+	doubt  atomic.Int64
+	strain strain
 }
 
 func (l *lifecycle) trusts() bool { return time.Now().UnixNano() >= l.doubt.Load() }
@@ -35,7 +36,7 @@
 func (n *Node) ready() bool {
 	select {
 	case <-n.follower.Ready():
-		return !n.life.draining.Load() && n.life.trusts()
+		return !n.life.draining.Load() && n.life.trusts() && !n.life.strain.strained(time.Now())
 	default:
 		return false
 	}
@@ -96,6 +97,8 @@
 		boot, now := bootTime(), time.Now()
 		if slept := (boot - last) - now.Sub(steady); slept > sleepLimit {
 			n.woke(slept)
+		} else if late := now.Sub(steady) - housekeepingInterval; n.life.strain.observe(late, now) {
+			n.events.Emit(events.Strained, events.Fields{"late_ms": n.life.strain.mean.Milliseconds(), "for_ms": strainHold.Milliseconds()})
 		}
 		last, steady = boot, now
 		if now.Sub(rest) >= restInterval {
