--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint bench promises
+.PHONY: build demo test lint bench promises soak
 
 build:
 	@mkdir -p bin && go build -o bin/ ./cmd/...
@@ -19,3 +19,7 @@
 
 bench: build
 	@bash scripts/bench.sh
+
+# A run of the fault soak: make soak SEED=7 RUNS=3 FOR=60s
+soak: build
+	@bin/celerysoak --seed $(or $(SEED),1) --runs $(or $(RUNS),1) --for $(or $(FOR),40s) --hosts $(or $(HOSTS),9)
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -27,6 +27,8 @@
 	callers, upstreams, store *proxy
 	up                        *upstream
 	starts                    int
+	// changing is held while the upstream is replaced, restarting while the node is.
+	changing, restarting sync.Mutex
 
 	mu   sync.Mutex
 	node *process
