Probe a zone in doubt with heartbeats; a late process does not call its upstream cold

Cause: a cut zone was tried again every second with callers' requests, each of which waited 0.3 to 0.85 s; calls with 250 ms were lost before the silence was noticed. Change: owners that leave a call without an answer for 150 ms count as silent as well; a zone of which two fell silent and none answers gets nothing until a heartbeat, sent five times a second, is answered there; a service that lives only there is refused at once. Package lag measures how late the process's own timers are; while that is the floor of a jump, latencies teach the gate nothing.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -59,6 +59,8 @@
 // Gate counts the requests that run at the upstream.
 type Gate struct {
 	maxWait time.Duration
+	// late returns how late this process gets to its work; nil for never.
+	late func() time.Duration
 
 	mu       sync.Mutex
 	slots    int
@@ -80,6 +82,10 @@
 // NewGate returns a gate that admits nothing until Open.
 func NewGate() *Gate { return &Gate{maxWait: MaxWait, trends: trends{}} }
 
+// Late tells the gate how late this process gets to its work: latencies that jump meanwhile say
+// nothing of the upstream. Call it before the gate is used.
+func (g *Gate) Late(f func() time.Duration) { g.late = f }
+
 // Open admits up to slots requests, ramping up over slowStart from now on.
 func (g *Gate) Open(slots int, slowStart time.Duration) {
 	g.mu.Lock()
@@ -132,6 +138,9 @@
 // Observe takes in the latency of an answer on a route; it reports whether the
 // upstream has turned cold by it, and then ramps up again.
 func (g *Gate) Observe(route string, latency time.Duration) bool {
+	if g.late != nil && g.late() >= jumpFloor {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -251,3 +251,29 @@
 		}
 	}
 }
+
+// Pattern: the whole machine is busy. Latencies jump because this process itself gets to its work
+// late; the upstream is as warm as before.
+func TestBusyMachineIsNoColdUpstream(t *testing.T) {
+	for _, late := range []time.Duration{0, jumpFloor} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewGate()
+			now := time.Duration(0)
+			g.Late(func() time.Duration { return now })
+			g.Open(10, 0)
+			for range 100 {
+				g.Observe("show", 5*time.Millisecond)
+				time.Sleep(10 * time.Millisecond)
+			}
+			now = late
+			cold := false
+			for range 100 {
+				cold = g.Observe("show", 100*time.Millisecond) || cold
+				time.Sleep(10 * time.Millisecond)
+			}
+			if cold != (late == 0) {
+				t.Errorf("%v late: cold %v", late, cold)
+			}
+		})
+	}
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -169,8 +169,10 @@
 		if slices.Contains(a.Tried, e) || (a.Eligible != nil && !a.Eligible(e)) {
 			continue
 		}
+		if e.Zone != b.zone && b.zones.doubted(e.Zone, now) {
+			continue
+		}
 		s := e.state(now)
-		s.shunned = s.shunned || (e.Zone != b.zone && b.zones.doubted(e.Zone, now))
 		if cost := b.cost(e, s, usual, a.Target); best == nil || cost < least {
 			best, least, room = e, cost, s.wait == 0 && !s.shunned
 		}
@@ -178,17 +180,14 @@
 	return best, room
 }
 
-// Unreachable takes in that the owner of e, or its upstream, cannot be reached; silent says
-// that the owner's host did not answer. It returns how long e is the last choice.
-func (b *Balancer) Unreachable(e *Endpoint, silent bool, now time.Time) time.Duration {
-	if silent {
-		b.zones.silent(e.Zone, e.Addr, now)
-	}
-	return e.Unreachable(now)
+// Silent takes in that the owner of e did not answer a call in time; it reports whether its zone
+// is in doubt by that.
+func (b *Balancer) Silent(e *Endpoint, now time.Time) (doubted bool) {
+	return e.Zone != b.zone && b.zones.silent(e.Zone, e.Addr, now)
 }
 
 // Reached takes in that the owner of e answered.
-func (b *Balancer) Reached(e *Endpoint) { b.zones.answered(e.Zone) }
+func (b *Balancer) Reached(e *Endpoint) { b.zones.answered(e.Zone, time.Now()) }
 
 // cost is the expected loss of sending a request to e.
 func (b *Balancer) cost(e *Endpoint, s state, usual, target time.Duration) float64 {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -1,11 +1,14 @@
 package balance
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"celerybank/internal/gossip"
 	"celerybank/internal/proxy"
 )
@@ -106,16 +109,36 @@
 		}
 		b.Update(gossip.Member{Addr: "10.0.2.0:7000", Zone: "c", Upstream: gossip.Upstream{Service: "stock", Instance: "c", Slots: 8}})
 		all := b.Endpoints("stock")
-		for _, e := range all[:2] {
-			b.Unreachable(e, true, time.Now())
+		for i, e := range all[:2] {
+			if b.Silent(e, time.Now()) != (i == 1) {
+				t.Errorf("doubt after %d silent hosts", i+1)
+			}
 		}
 		if got := picks(b, ask, 50); got["b"] != 0 {
 			t.Errorf("%v", got)
 		}
-		b.Reached(all[2])
+		onlyThere := ask
+		onlyThere.Eligible = func(e *Endpoint) bool { return e.Zone == "b" }
+		if e, _ := b.Pick(onlyThere); e != nil {
+			t.Error("a request waits for a zone that is known not to answer")
+		}
+		// Callers' requests do not probe the cut; heartbeats do, until one is answered.
+		time.Sleep(3 * time.Second)
+		lost := func(context.Context, string) error { return errors.New("silent") }
+		if back := b.Probe(t.Context(), lost); len(back) > 0 || picks(b, ask, 50)["b"] != 0 {
+			t.Errorf("back without an answer: %v", back)
+		}
+		if back := b.Probe(t.Context(), func(context.Context, string) error { return nil }); len(back) != 1 || back[0] != "b" {
+			t.Errorf("an answered heartbeat: %v", back)
+		}
 		if got := picks(b, ask, 200); got["b"] == 0 {
 			t.Errorf("after an answer from the zone: %v", got)
 		}
+		b.Silent(all[0], time.Now())
+		b.Reached(all[2])
+		if b.Silent(all[1], time.Now()) {
+			t.Error("a zone that answers is in doubt")
+		}
 	})
 }
 
--- a/internal/balance/zones.go
+++ b/internal/balance/zones.go
@@ -1,16 +1,19 @@
 package balance
 
 import (
+	"context"
 	"sync"
 	"time"
 )
 
 // A zone is in doubt when several of its hosts fell silent within silenceSpan and none has
-// answered since: it is most likely cut off, and its other hosts are not tried one by one.
+// answered since: it is most likely cut off. Its hosts get no requests until one of them answers
+// a heartbeat, or doubtLimit has passed: callers' requests are not what a cut is probed with.
 const (
-	silenceSpan  = 1500 * time.Millisecond
-	silentHosts  = 2
-	doubtForZone = time.Second
+	silenceSpan = 1500 * time.Millisecond
+	silentHosts = 2
+	// doubtLimit bounds the doubt where nobody sends heartbeats; a cut may last longer.
+	doubtLimit = 10 * time.Second
 )
 
 // zones follows the silence of hosts by zone.
@@ -25,7 +28,8 @@
 	until  time.Time
 }
 
-func (z *zones) silent(zone, addr string, now time.Time) {
+// silent takes in that a host did not answer; it reports whether its zone is in doubt by that.
+func (z *zones) silent(zone, addr string, now time.Time) (doubted bool) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	if z.state == nil {
@@ -42,17 +46,20 @@
 		}
 	}
 	s.silent[addr] = now
-	if len(s.silent) >= silentHosts {
-		s.until = now.Add(doubtForZone)
+	if len(s.silent) < silentHosts || now.Before(s.until) {
+		return false
 	}
+	s.until = now.Add(doubtLimit)
+	return true
 }
 
-func (z *zones) answered(zone string) {
+// answered reports whether the zone was in doubt until now.
+func (z *zones) answered(zone string, now time.Time) (cleared bool) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	if s := z.state[zone]; s != nil {
-		delete(z.state, zone)
-	}
+	s := z.state[zone]
+	delete(z.state, zone)
+	return s != nil && now.Before(s.until)
 }
 
 func (z *zones) doubted(zone string, now time.Time) bool {
@@ -61,3 +68,37 @@
 	s := z.state[zone]
 	return s != nil && now.Before(s.until)
 }
+
+// inDoubt returns the zones in doubt, each with its silent hosts.
+func (z *zones) inDoubt(now time.Time) map[string][]string {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	var out map[string][]string
+	for zone, s := range z.state {
+		if !now.Before(s.until) {
+			continue
+		}
+		if out == nil {
+			out = map[string][]string{}
+		}
+		for addr := range s.silent {
+			out[zone] = append(out[zone], addr)
+		}
+	}
+	return out
+}
+
+// Probe asks one host of each zone in doubt for a sign of life, by a call that no caller waits
+// for, and ends the doubt where one comes. It returns the zones that are reached again. Call it
+// several times a second.
+func (b *Balancer) Probe(ctx context.Context, ping func(ctx context.Context, addr string) error) (back []string) {
+	for zone, hosts := range b.zones.inDoubt(time.Now()) {
+		for _, addr := range hosts { // in the random order of a map
+			if ping(ctx, addr) == nil && b.zones.answered(zone, time.Now()) {
+				back = append(back, zone)
+			}
+			break
+		}
+	}
+	return back
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -185,11 +185,25 @@
 	a := proxy.CallOwner(ctx, d.Peers, e.Addr, &r)
 	if now := time.Now(); a.Held > 0 || a.Reason == proxy.ReasonDeadline {
 		e.Travelled(now.Sub(start)-a.Held, now)
+		if a.Held == 0 && now.Sub(start) >= silenceFrom {
+			d.silent(e, now)
+		}
 	}
 	d.learn(e, &r, a)
 	return a
 }
 
+// silenceFrom is how long an owner may leave a call without any answer before that says something
+// of its zone: many times the way between zones, and less than the shortest deadlines of calls.
+const silenceFrom = 150 * time.Millisecond
+
+// silent takes in that the owner of e did not answer.
+func (d *Dispatcher) silent(e *balance.Endpoint, now time.Time) {
+	if d.Balancer.Silent(e, now) {
+		d.Events.Emit(events.ZoneDoubted, events.Fields{"zone_in_doubt": e.Zone, "addr": e.Addr})
+	}
+}
+
 // learn takes in what an answer says of its upstream.
 func (d *Dispatcher) learn(e *balance.Endpoint, r *proxy.Request, a *proxy.Answer) {
 	now := time.Now()
@@ -216,7 +230,10 @@
 	case proxy.ReasonPeerLost, proxy.ReasonUnreachable, proxy.ReasonDown, proxy.ReasonCrashed, proxy.ReasonNoUpstream,
 		proxy.ReasonMoved, proxy.ReasonDraining, proxy.ReasonVetoed, proxy.ReasonZoneOut:
 		d.Events.Emit(events.EndpointShunned, events.Fields{"request": r.RequestID, "instance": e.Instance, "addr": e.Addr,
-			"reason": a.Reason, "for_ms": d.Balancer.Unreachable(e, a.Reason == proxy.ReasonPeerLost, now).Milliseconds()})
+			"reason": a.Reason, "for_ms": e.Unreachable(now).Milliseconds()})
+		if a.Reason == proxy.ReasonPeerLost {
+			d.silent(e, now)
+		}
 		if a.Reason == proxy.ReasonCrashed {
 			d.Crashes.Blame(proxy.Fingerprint(r), e.Instance)
 		}
--- a/internal/events/sidecar.go
+++ b/internal/events/sidecar.go
@@ -20,6 +20,8 @@
 	CallRetried     Code = 532
 	CallCancelled   Code = 533
 	EndpointShunned Code = 534
+	ZoneDoubted     Code = 537
+	ZoneReached     Code = 538
 	CallServed      Code = 535
 	UpstreamFailed  Code = 536
 	CanaryStep      Code = 720
@@ -44,6 +46,8 @@
 	CallRetried:     {"call-retried", logrus.InfoLevel, "A request is sent to another upstream; the field reason says why the first did not serve it."},
 	CallCancelled:   {"call-cancelled", logrus.DebugLevel, "The caller left before the answer; the work was cancelled."},
 	EndpointShunned: {"endpoint-shunned", logrus.InfoLevel, "An upstream gets less or no work from this node for a while; the field reason says why."},
+	ZoneDoubted:     {"zone-doubted", logrus.WarnLevel, "Several hosts of another zone fell silent and none answers: it gets no requests from this node until a heartbeat is answered there."},
+	ZoneReached:     {"zone-reached", logrus.InfoLevel, "A zone that was in doubt has answered a heartbeat; it gets requests again."},
 	CallServed:      {"call-served", logrus.InfoLevel, "A request went well; one in so many gets this line, as the settings of the log say."},
 	UpstreamFailed:  {"upstream-failed", logrus.WarnLevel, "The answer that the upstream gave is a failure and was handed to the caller; the upstream's own logs have its cause."},
 	CanaryStep:      {"canary-step", logrus.InfoLevel, "The share of a new version changed; the evidence stands beside it."},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"celerybank/internal/distribution"
 	"celerybank/internal/events"
 	"celerybank/internal/gossip"
+	"celerybank/internal/lag"
 	"celerybank/internal/mesh"
 	"celerybank/internal/peer"
 	"celerybank/internal/proxy"
@@ -44,6 +45,7 @@
 	spread  *distribution.Distributor
 	router  *routing.Router
 	gate    *admission.Gate
+	lag     lag.Meter
 	host    *upstream.Host
 	owner   *proxy.Owner
 	crashes *crash.Registry
@@ -70,6 +72,7 @@
 	n.router = routing.NewRouter(cfg.Listen.Peers, cfg.Zone, cfg.Region, n.members)
 	n.gate = admission.NewGate()
 	n.claims = n.newClaims(log)
+	n.gate.Late(n.lag.Late)
 	n.owner = proxy.NewOwner(n.gate, network, cfg.Limits.UpstreamConnections, cfg.Limits.BodyBytes, n.claims.claimant, n.wireMoves(log))
 	n.crashes = crash.New(n.members, ev)
 	n.owner.Guard(n.crashes, ev)
@@ -163,6 +166,7 @@
 	var wg conc.WaitGroup
 	run := func(f func(context.Context) error) { wg.Go(func() { _ = f(ctx) }) }
 	run(func(ctx context.Context) error { return n.server.Serve(ctx, peers) })
+	run(n.lag.Run)
 	run(n.members.Run)
 	run(n.spread.Run)
 	run(n.housekeeping)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -90,6 +90,11 @@
 	return err
 }
 
+// Ping asks the peer at addr for a sign of life.
+func (p *Pool) Ping(ctx context.Context, addr string) error {
+	return p.Call(ctx, addr, pingMethod, &Ping{}, &Pong{})
+}
+
 // errClosedBefore reports a connection that had ended before the call.
 var errClosedBefore = errors.Wrap(ErrNotSent, "connection closed before the call")
 
--- a/internal/sidecar/life.go
+++ b/internal/sidecar/life.go
@@ -127,3 +127,30 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Timing of the heartbeats to zones in doubt.
+const (
+	zoneProbeInterval = 200 * time.Millisecond
+	zoneProbeTimeout  = 300 * time.Millisecond
+)
+
+// probeZones ends the doubt about zones that answer again.
+func (n *Node) probeZones(ctx context.Context) error {
+	tick := time.NewTicker(zoneProbeInterval)
+	defer tick.Stop()
+	ping := func(ctx context.Context, addr string) error {
+		ctx, cancel := context.WithTimeout(ctx, zoneProbeTimeout)
+		defer cancel()
+		return n.pool.Ping(ctx, addr)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		for _, zone := range n.balancer.Probe(ctx, ping) {
+			n.events.Emit(events.ZoneReached, events.Fields{"zone_in_doubt": zone})
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -185,7 +185,7 @@
 	}
 	wg.Go(func() { _ = n.ingress.Serve(callers) })
 	for _, task := range []func(context.Context) error{func(ctx context.Context) error { return n.server.Serve(ctx, peers) },
-		n.members.Run, n.follower.Run, search.Run, n.canaries.Run, n.housekeeping} {
+		n.members.Run, n.follower.Run, search.Run, n.probeZones, n.canaries.Run, n.housekeeping} {
 		wg.Go(func() {
 			if err := task(life); err != nil {
 				n.events.Emit(events.TaskFailed, events.Fields{"reason": err.Error()})
