--- a/internal/balance/zones.go
+++ b/internal/balance/zones.go
@@ -69,20 +69,20 @@
 	return s != nil && now.Before(s.until)
 }
 
-// inDoubt returns the zones in doubt, each with its silent hosts.
-func (z *zones) inDoubt(now time.Time) map[string][]string {
+// inDoubt returns the zones in doubt, each with one of its silent hosts.
+func (z *zones) inDoubt(now time.Time) map[string]string {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	var out map[string][]string
+	var out map[string]string
 	for zone, s := range z.state {
 		if !now.Before(s.until) {
 			continue
 		}
 		if out == nil {
-			out = map[string][]string{}
+			out = map[string]string{}
 		}
-		for addr := range s.silent {
-			out[zone] = append(out[zone], addr)
+		for addr := range s.silent { // the last one in the random order of a map
+			out[zone] = addr
 		}
 	}
 	return out
@@ -92,12 +92,9 @@
 // for, and ends the doubt where one comes. It returns the zones that are reached again. Call it
 // several times a second.
 func (b *Balancer) Probe(ctx context.Context, ping func(ctx context.Context, addr string) error) (back []string) {
-	for zone, hosts := range b.zones.inDoubt(time.Now()) {
-		for _, addr := range hosts { // in the random order of a map
-			if ping(ctx, addr) == nil && b.zones.answered(zone, time.Now()) {
-				back = append(back, zone)
-			}
-			break
+	for zone, addr := range b.zones.inDoubt(time.Now()) {
+		if ping(ctx, addr) == nil && b.zones.answered(zone, time.Now()) {
+			back = append(back, zone)
 		}
 	}
 	return back
