--- a/internal/delivery/gate_test.go
+++ b/internal/delivery/gate_test.go
@@ -170,8 +170,9 @@
 		var mu sync.Mutex
 		var sent []time.Time
 		ctx, stop := context.WithCancel(t.Context())
+		var callers sync.WaitGroup
 		for range 30 {
-			go func() {
+			callers.Go(func() {
 				for ctx.Err() == nil {
 					if _, ok := g.Acquire(ctx, claim(0, time.Minute, time.Minute)); !ok {
 						continue
@@ -182,7 +183,7 @@
 					time.Sleep(20 * time.Millisecond)
 					g.Release(20 * time.Millisecond)
 				}
-			}()
+			})
 		}
 		time.Sleep(3 * time.Second)
 		mu.Lock()
@@ -192,7 +193,7 @@
 			t.Errorf("%d in three seconds, %d in the busiest", n, most)
 		}
 		stop()
-		synctest.Wait()
+		callers.Wait()
 	})
 }
 
