Send answers between nodes with the names of their fields

Cause: Answer travelled as an array, and the codec refuses an array of another length: with Held, or any field to come, nodes of two versions could not answer each other while a fleet is replaced. Change: a map with short names, empty fields left out; about 16 bytes more for an answer, fewer for a refusal. This one change itself is not read by nodes of before. Test: TestAnswersOfOtherVersionsAreRead.

--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -104,25 +104,24 @@
 // ReasonHeader is the response header with the reason of a refusal or failure.
 const ReasonHeader = "X-Celerybank-Reason"
 
-// Answer is the outcome of a call. Status 0 means that no upstream answered.
+// Answer is the outcome of a call. Status 0 means that no upstream answered. Its fields travel with
+// their names, so that nodes of two versions understand each other while a fleet is replaced.
 type Answer struct {
-	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 the codec reads the tag
-
 	Verdict verdict.Verdict `msgpack:"v"`
-	Reason  Reason          `msgpack:"r"`
-	Status  int             `msgpack:"s"`
-	Header  []Field         `msgpack:"h"`
-	Body    []byte          `msgpack:"b"`
+	Reason  Reason          `msgpack:"r,omitempty"`
+	Status  int             `msgpack:"s,omitempty"`
+	Header  []Field         `msgpack:"h,omitempty"`
+	Body    []byte          `msgpack:"b,omitempty"`
 	// Load is the owner's state after the call, for the entry's next choice.
 	Load Load `msgpack:"l"`
 	// Replayed means that this is the kept answer of an earlier request with the same key.
-	Replayed bool `msgpack:"y"`
+	Replayed bool `msgpack:"y,omitempty"`
 	// Took is how long the upstream worked on the request.
-	Took time.Duration `msgpack:"t"`
+	Took time.Duration `msgpack:"t,omitempty"`
 	// RetryAfter is when room is expected, with a refusal for want of it.
-	RetryAfter time.Duration `msgpack:"a"`
+	RetryAfter time.Duration `msgpack:"a,omitempty"`
 	// Held is how long the owner had the request, its wait for room included; 0 when no owner says.
-	Held time.Duration `msgpack:"e"`
+	Held time.Duration `msgpack:"e,omitempty"`
 }
 
 // Load is what an owner says of its upstream with each answer.
