Give cold upstreams less than the bound: what is sent evenly arrives in clumps

Change: 0.7 of the overshoot, nothing of the slack. Test: sends arrive an eighth of a second late in TestColdUpstreamIsPacedInEverySecond; it fails with 27.

--- a/internal/delivery/pacer.go
+++ b/internal/delivery/pacer.go
@@ -5,19 +5,17 @@
 // coldWindow is the span in which a cold upstream bears a number of requests.
 const coldWindow = time.Second
 
-// ColdBound is what the operator lets a cold upstream get in a second beyond the rate that it
-// states: Overshoot times of it, and Slack more.
-type ColdBound struct{ Overshoot, Slack float64 }
+// ColdBound is what the operator lets a cold upstream get in a second: Overshoot times the rate
+// that it states, and some more for what is delayed.
+type ColdBound struct{ Overshoot float64 }
 
-// coldSlackPart is the part of the slack that is used: what was sent in two seconds may arrive in one.
-const coldSlackPart = 0.4
+// coldOvershootPart is the part of the overshoot that is used, and nothing of the slack: what was
+// sent in more than a second may arrive in one.
+const coldOvershootPart = 0.7
 
 // allowed is how many requests a second go to a cold upstream that states a rate; 0 without one.
 func (b ColdBound) allowed(rate float64) float64 {
-	if rate <= 0 {
-		return 0
-	}
-	return rate*max(b.Overshoot, 1) + coldSlackPart*b.Slack
+	return max(rate, 0) * (1 + coldOvershootPart*max(b.Overshoot-1, 0))
 }
 
 // pacer spaces the requests to a cold upstream: it keeps the exact times of the last ones
