--- a/internal/delivery/gate_test.go
+++ b/internal/delivery/gate_test.go
@@ -130,7 +130,8 @@
 var coldAllowed = ColdBound{coldOvershoot}.allowed(coldRate)
 
 // lateBy is how late a request may arrive: those sent within a second and this may arrive in one second.
-const lateBy = time.Second / 8
+// At 37 ms between two, the 31 of iblee-mesh trouble-2 were sent within 1.11 s at least.
+const lateBy = time.Second / 6
 
 func busiestSecond(times []time.Time) int { return busiest(times, time.Second) }
 
@@ -148,8 +149,8 @@
 	return most
 }
 
-// Pattern: a zone returns cold and all callers come at once, and what was sent arrives up to an
-// eighth of a second late, as on iblee-mesh trouble-2 where 28 sent in a second arrived as 31.
+// Pattern: a zone returns cold and all callers come at once, and what was sent arrives up to a
+// sixth of a second late, as on iblee-mesh trouble-2 where 28 sent in a second arrived as 31.
 func TestColdUpstreamIsPacedInEverySecond(t *testing.T) {
 	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(7))
 	properties.Property("no second gets more than a cold upstream bears", prop.ForAll(func(gaps []int, warm int) bool {
@@ -165,7 +166,7 @@
 			}
 		}
 		return float64(busiest(sent, time.Second+lateBy)) <= coldRate*coldOvershoot+coldSlack
-	}, gen.SliceOfN(2000, gen.IntRange(0, 4)), gen.IntRange(0, 1000)))
+	}, gen.SliceOfN(4000, gen.IntRange(0, 1)), gen.IntRange(0, 1000)))
 	properties.TestingRun(t)
 }
 
