Say in a request's line why it was sent to no further upstream; one copy of the platform's names

The field stop says it, with a test. platform/counterpart repeated header fields, paths, topics and keys of platform/; it uses those now, exported. No decision is changed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -115,8 +115,22 @@
 	open bool
 	// crashing requests are not repeated once they may have run.
 	suspected bool
+	// stop says why the request was not sent to a further upstream; empty when none was in sight.
+	stop stop
 }
 
+// stop is why a request is not sent again, for the log.
+type stop string
+
+const (
+	stopOutcome  stop = "outcome"  // the answer holds, or an unsafe request may have run
+	stopCrashing stop = "crashing" // it was in flight at a crash
+	stopReason   stop = "reason"   // no other upstream would answer otherwise
+	stopAttempts stop = "attempts" // the route allows no more
+	stopRepeat   stop = "repeat"   // it belongs to a repeat, which is not multiplied again
+	stopBudget   stop = "budget"   // the retry budget is spent
+)
+
 // offer sends a request to one upstream after the other until an answer is final.
 func (d *Dispatcher) offer(ctx context.Context, at *attempt) *proxy.Answer {
 	req := at.req
@@ -250,16 +264,22 @@
 	}
 	// A timeout of the upstream's own leaves no time for another.
 	failed := a.Verdict == verdict.Ran && a.Status >= fasthttp.StatusInternalServerError && a.Status != fasthttp.StatusGatewayTimeout && at.route.Idempotent
+	at.stop = ""
 	switch {
 	case a.Verdict == verdict.Ran && !failed, a.Verdict == verdict.MayHaveRun && !at.route.Idempotent:
-		return false
-	case at.suspected && at.reached > 0, final(a.Reason):
-		return false
+		at.stop = stopOutcome
+	case at.suspected && at.reached > 0:
+		at.stop = stopCrashing
+	case final(a.Reason):
+		at.stop = stopReason
 	case at.reached >= at.route.Attempts:
-		return false
+		at.stop = stopAttempts
 	case at.reached > 0 && at.req.Hop.Retry:
-		return false // it belongs to a repeat, which is not multiplied again
+		at.stop = stopRepeat
 	case at.reached > 0 && !d.Budget.Spend(at.req.Service, a.Verdict != verdict.NotRun, at.req.Rank == callRank):
+		at.stop = stopBudget
+	}
+	if at.stop != "" {
 		return false
 	}
 	if at.reached > 0 {
@@ -300,6 +320,6 @@
 	}
 	d.Events.Emit(code, events.Fields{"request": req.RequestID, "offers": len(at.tried), "reached": at.reached, "upstream": last,
 		"took_ms": a.Took.Milliseconds(), "service": req.Service, "route": req.Route, "reason": a.Reason, "status": a.Status,
-		"verdict": a.Verdict.String(), "in_use": a.Load.InUse, "limit": a.Load.Limit, "pace_ms": a.Load.Pace.Milliseconds(),
+		"verdict": a.Verdict.String(), "stop": at.stop, "in_use": a.Load.InUse, "limit": a.Load.Limit, "pace_ms": a.Load.Pace.Milliseconds(),
 		"retry_after_ms": a.RetryAfter.Milliseconds(), "rank": req.Rank, "config": d.View().Next})
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"celerybank/internal/balance"
+	"celerybank/internal/events"
 	"celerybank/internal/gossip"
 	"celerybank/internal/orders"
 	"celerybank/internal/peer"
@@ -331,3 +332,31 @@
 		}
 	})
 }
+
+// The line of a failed request says why it was not sent to another upstream.
+func TestLineSaysWhyNoOtherWasTried(t *testing.T) {
+	failing := map[string]func(*proxy.Request) (*proxy.Answer, error){"one": status(500), "two": status(500), "three": status(500)}
+	for _, c := range []struct {
+		path string
+		want stop
+	}{{"/get/1", stopAttempts}, {"/post/1", stopOutcome}} {
+		f := &fakeOwners{answers: failing}
+		d := newDispatcher(f)
+		d.Events = events.New("n", "z", nil)
+		d.Budget.Slack = 600
+		d.Call(t.Context(), request("r1"), c.path, 0)
+		lines := d.Events.Since(0)
+		if last := lines[len(lines)-1]; last.Code != events.UpstreamFailed || last.Fields["stop"] != c.want {
+			t.Errorf("%s: %s %v", c.path, last.Name, last.Fields)
+		}
+	}
+	d := newDispatcher(&fakeOwners{answers: failing})
+	d.Events = events.New("n", "z", nil)
+	for d.Budget.Spend("stock", true, true) {
+	}
+	d.Call(t.Context(), request("r1"), "/get/1", 0)
+	lines := d.Events.Since(0)
+	if last := lines[len(lines)-1]; last.Fields["stop"] != stopBudget {
+		t.Errorf("budget spent: %s %v", last.Name, last.Fields)
+	}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -84,7 +84,7 @@
 }
 
 func (h *host) ready() bool {
-	resp, err := http.Get("http://" + h.at(counterpart.ReadyPort) + counterpart.ReadyPath)
+	resp, err := http.Get("http://" + h.at(counterpart.ReadyPort) + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -157,7 +157,7 @@
 
 // order writes a record of the operator.
 func (m *mesh) order(record []byte) {
-	if _, err := m.log.Append(context.Background(), counterpart.TopicOperator, record); err != nil {
+	if _, err := m.log.Append(context.Background(), platform.TopicOperator, record); err != nil {
 		m.t.Fatal(err)
 	}
 }
@@ -272,7 +272,7 @@
 func TestRecordsOfTheTestAreThePlatforms(t *testing.T) {
 	m := startMesh(t)
 	m.order(counterpart.ZoneOut("a"))
-	resp, err := http.Get("http://" + m.store + "/api/log-read?part=0&from=0&topic=" + counterpart.TopicOperator)
+	resp, err := http.Get("http://" + m.store + "/api/log-read?part=0&from=0&topic=" + platform.TopicOperator)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -163,7 +163,7 @@
 
 func (h *host) ready() bool {
 	client := http.Client{Timeout: dialTimeout}
-	resp, err := client.Get("http://" + h.at(counterpart.ReadyPort) + counterpart.ReadyPath)
+	resp, err := client.Get("http://" + h.at(counterpart.ReadyPort) + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -184,7 +184,7 @@
 // order writes a record of the operator until the store acknowledges it.
 func (s *soak) order(ctx context.Context, record []byte) bool {
 	for ctx.Err() == nil {
-		if _, err := s.operator.Append(ctx, counterpart.TopicOperator, record); err == nil {
+		if _, err := s.operator.Append(ctx, platform.TopicOperator, record); err == nil {
 			return true
 		}
 		_ = sleep(ctx, operatorRetry) // the loop looks at ctx
