Probe a zone in doubt at any of its hosts

When two hosts of a zone are lost for good and little goes to the zone, none of them answers, and the rest of the zone got nothing for 10 s. Change: a random owner of the zone is asked. Test: TestLostHostsDoNotKeepTheirZoneInDoubt, which failed first.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -178,3 +178,31 @@
 		}
 	})
 }
+
+// Pattern: two hosts of a zone are lost for good and the rest is well. Heartbeats go to any host of
+// the zone, so that the doubt ends with the first that is answered.
+func TestLostHostsDoNotKeepTheirZoneInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New("a")
+		for i := range 4 {
+			b.Update(gossip.Member{Addr: fmt.Sprint("10.0.1.", i, ":7000"), Zone: "b", Upstream: gossip.Upstream{Service: "stock", Instance: fmt.Sprint(i), Slots: 8}})
+		}
+		all := b.Endpoints("stock")
+		lost := map[string]bool{all[0].Addr: true, all[1].Addr: true}
+		b.Silent(all[0], time.Now())
+		b.Silent(all[1], time.Now())
+		ping := func(_ context.Context, addr string) error {
+			if lost[addr] {
+				return errors.New("silent")
+			}
+			return nil
+		}
+		const probes = 60 // half of the hosts answer: none is asked with a chance of 2 to the -60
+		for range probes {
+			b.Probe(t.Context(), ping)
+		}
+		if e, _ := b.Pick(ask); e == nil {
+			t.Error("the zone is still in doubt")
+		}
+	})
+}
--- a/internal/balance/zones.go
+++ b/internal/balance/zones.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -69,31 +70,42 @@
 	return s != nil && now.Before(s.until)
 }
 
-// inDoubt returns the zones in doubt, each with one of its silent hosts.
-func (z *zones) inDoubt(now time.Time) map[string]string {
+// inDoubt returns the zones in doubt.
+func (z *zones) inDoubt(now time.Time) (out []string) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	var out map[string]string
 	for zone, s := range z.state {
-		if !now.Before(s.until) {
-			continue
+		if now.Before(s.until) {
+			out = append(out, zone)
 		}
-		if out == nil {
-			out = map[string]string{}
+	}
+	return out
+}
+
+// anyIn returns a random owner of a zone, empty without one: the silent ones may be gone for good
+// while the rest of their zone is well.
+func (b *Balancer) anyIn(zone string) (addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	seen := 0
+	for _, e := range b.byAddr {
+		if e.Zone != zone {
+			continue
 		}
-		for addr := range s.silent { // the last one in the random order of a map
-			out[zone] = addr
+		if seen++; rand.IntN(seen) == 0 {
+			addr = e.Addr
 		}
 	}
-	return out
+	return addr
 }
 
 // Probe asks one host of each zone in doubt for a sign of life, by a call that no caller waits
 // for, and ends the doubt where one comes. It returns the zones that are reached again. Call it
 // several times a second.
 func (b *Balancer) Probe(ctx context.Context, ping func(ctx context.Context, addr string) error) (back []string) {
-	for zone, addr := range b.zones.inDoubt(time.Now()) {
-		if ping(ctx, addr) == nil && b.zones.answered(zone, time.Now()) {
+	for _, zone := range b.zones.inDoubt(time.Now()) {
+		addr := b.anyIn(zone)
+		if addr != "" && ping(ctx, addr) == nil && b.zones.answered(zone, time.Now()) {
 			back = append(back, zone)
 		}
 	}
