Let the soak wait with duration.Sleep

It had a copy of that function of its own. Left: the fields of delivery.Owner repeat those of its Config, and the ticker loops of the judges are alike.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"celerybank/internal/duration"
 	"celerybank/platform/counterpart"
 )
 
@@ -52,7 +53,7 @@
 func (c *callers) run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for sleep(ctx, time.Duration(rand.ExpFloat64()/c.perS*float64(time.Second))) == nil {
+	for duration.Sleep(ctx, time.Duration(rand.ExpFloat64()/c.perS*float64(time.Second))) {
 		n, prefix := 1, c.pick()
 		if c.prefixes[prefix] && rand.Float64() < pipelineShare {
 			n = 2
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"celerybank/internal/configlog"
+	"celerybank/internal/duration"
 	"celerybank/platform"
 	"celerybank/platform/counterpart"
 )
@@ -18,7 +19,7 @@
 		if _, err := s.operator.Append(ctx, platform.TopicOperator, record); err == nil {
 			return true
 		}
-		_ = sleep(ctx, operatorRetry) // the loop looks at ctx
+		duration.Sleep(ctx, operatorRetry) // the loop looks at ctx
 	}
 	return false
 }
@@ -54,7 +55,7 @@
 func (s *soak) harmStore(ctx context.Context, t Trouble, f configlog.Faults) {
 	defer s.checker.Disturb(Store, "")()
 	s.control(f)
-	_ = sleep(ctx, t.For) // the faults end in any case
+	duration.Sleep(ctx, t.For) // the faults end in any case
 	s.control(configlog.Faults{})
 }
 
@@ -85,7 +86,7 @@
 	zone := zoneName(t.Zone)
 	if s.order(ctx, counterpart.ZoneOut(zone)) {
 		s.checker.ZoneOut(zone)
-		_ = sleep(ctx, t.For+zoneWithin) // it is taken back in any case
+		duration.Sleep(ctx, t.For+zoneWithin) // it is taken back in any case
 		s.checker.ZoneIn(zone)
 	}
 	s.order(context.WithoutCancel(ctx), counterpart.ZoneIn(zone))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"celerybank/internal/configlog"
+	"celerybank/internal/duration"
 	"celerybank/internal/peer"
 	"celerybank/platform"
 	"celerybank/platform/counterpart"
@@ -97,7 +98,7 @@
 	began := time.Now()
 	var troubles conc.WaitGroup
 	for _, t := range plan {
-		if sleep(ctx, time.Until(began.Add(t.At))) != nil {
+		if !duration.Sleep(ctx, time.Until(began.Add(t.At))) {
 			break
 		}
 		fmt.Fprintln(c.Out, t)
@@ -146,13 +147,14 @@
 			}
 		}
 		if ready == len(s.hosts) {
-			return sleep(ctx, heartbeat)
+			duration.Sleep(ctx, heartbeat)
+			return ctx.Err()
 		}
 		if time.Now().After(end) {
 			return errors.Errorf("%d of %d nodes are ready after %v", ready, len(s.hosts), startWait)
 		}
-		if err := sleep(ctx, operatorRetry); err != nil {
-			return err
+		if !duration.Sleep(ctx, operatorRetry) {
+			return ctx.Err()
 		}
 	}
 }
@@ -187,7 +189,7 @@
 	case ConfigStorm:
 		for end := time.Now().Add(t.For); time.Now().Before(end); {
 			s.configure(ctx)
-			_ = sleep(ctx, stormGap) // the next look at the time tells
+			duration.Sleep(ctx, stormGap) // the next look at the time tells
 		}
 	case ZoneOutIn:
 		s.zoneOutIn(ctx, t)
@@ -202,7 +204,7 @@
 	case RollTerminate:
 		for _, i := range t.Hosts {
 			s.terminate(ctx, s.hosts[i])
-			_ = sleep(ctx, termGap) // the rest is stopped in any case
+			duration.Sleep(ctx, termGap) // the rest is stopped in any case
 		}
 	default:
 		var all conc.WaitGroup
@@ -224,7 +226,7 @@
 		defer s.checker.Disturb(Frozen, h.name)()
 		p := h.process()
 		p.signal(syscall.SIGSTOP)
-		_ = sleep(ctx, t.For) // it goes on in any case
+		duration.Sleep(ctx, t.For) // it goes on in any case
 		p.signal(syscall.SIGCONT)
 	case StorePartial:
 		s.harm(ctx, t, h, h.store, Refused, Store)
@@ -244,7 +246,7 @@
 		s.harm(ctx, t, h, h.upstreams, Slow, Unplanned)
 	case UpstreamCrash:
 		defer s.checker.Disturb(Unplanned, h.name)()
-		s.replace(ctx, h, func() { h.up.crash(); _ = sleep(ctx, t.For) })
+		s.replace(ctx, h, func() { h.up.crash(); duration.Sleep(ctx, t.For) })
 	case UpstreamLeave:
 		s.replace(ctx, h, func() { h.up.leave(ctx) })
 	}
@@ -254,7 +256,7 @@
 func (s *soak) harm(ctx context.Context, t Trouble, h *host, p *proxy, what Harm, d Disturbance) {
 	end := s.checker.Disturb(d, h.name)
 	p.set(what)
-	_ = sleep(ctx, t.For) // the harm ends in any case
+	duration.Sleep(ctx, t.For) // the harm ends in any case
 	if what != Silent && what != Reset {
 		p.set(Healthy)
 	}
@@ -311,11 +313,11 @@
 		all.Go(func() { s.kill(h) })
 	}
 	all.Wait()
-	_ = sleep(ctx, restartDelay) // the end of the loss is when all run again
+	duration.Sleep(ctx, restartDelay) // the end of the loss is when all run again
 }
 
 func (s *soak) restart(ctx context.Context, h *host) {
-	_ = sleep(ctx, restartDelay) // started in any case, so that the fleet is whole
+	duration.Sleep(ctx, restartDelay) // started in any case, so that the fleet is whole
 	if err := h.start(); err != nil {
 		fmt.Fprintln(s.Out, h.name, "does not start:", err)
 	}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"celerybank/internal/duration"
 	"celerybank/platform/counterpart"
 )
 
@@ -141,11 +142,11 @@
 func (u *upstream) leave(ctx context.Context) {
 	u.draining.Store(true)
 	for end := time.Now().Add(ackWait); time.Now().Before(end) && u.announce(ctx) != nil; {
-		if sleep(ctx, heartbeat/4) != nil {
+		if !duration.Sleep(ctx, heartbeat/4) {
 			return
 		}
 	}
-	if sleep(ctx, drainFor) != nil {
+	if !duration.Sleep(ctx, drainFor) {
 		return
 	}
 	gone, cancel := context.WithTimeout(ctx, ackTimeout)
@@ -161,15 +162,3 @@
 	u.stop()
 	_ = u.server.Close()
 }
-
-// sleep waits; the error is that of ctx.
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
