Ping suspects again, so that a suspicion whose rumours were lost ends by itself

A node that is cut off suspects members and spends all transmissions of its rumours into the cut. Healed, nothing asks the suspect again: its own round comes there after minutes (local health slows it to 5 s a probe), the suspect knows nothing of the suspicion, and after 4 to 12 s a reachable member is declared dead. Ruled out: load and the order of goroutines (virtual time; fails alone too); dead members (each is pinged, and their zones answer QueryAlive). Change: one round in four of the recheck pings the suspect that waited longest.

--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -111,6 +111,21 @@
 	})
 }
 
+// A node suspects others while it is cut off, and its rumours reach nobody. Once the cut
+// has healed it finds out by itself that they answer, before it believes in their death.
+func TestSuspicionFromAShortCutEndsByItself(t *testing.T) {
+	mesh(t, 72, 3, func(c *cluster) {
+		frozen := c.members[address(2, 7)]
+		c.setCut(isolate(frozen.addr))
+		c.eventually(5*time.Second, "the node suspects a member", func() bool { return frozen.metrics.suspected.Get() > 0 })
+		time.Sleep(time.Second)
+		c.setCut(nil)
+		c.eventually(3*time.Second, "all see all again", c.whole)
+		time.Sleep(30 * time.Second)
+		c.noneDead()
+	})
+}
+
 // Half of the nodes are killed at once and started again: no storm on the log, none
 // between the nodes.
 func TestHerdRestartStaysWithinTheBudget(t *testing.T) {
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -21,6 +22,10 @@
 	// recheckInterval is the time between probes outside the round: of members whose
 	// state is in doubt, and of dead ones that may have come back.
 	recheckInterval = 250 * time.Millisecond
+	// recheckRounds make a second; one of them is for the dead and one for suspects.
+	recheckRounds = 4
+	deadRound     = 0
+	suspectRound  = 2
 	// maxVerify bounds the members in doubt that wait for a probe.
 	maxVerify = 256
 	// piggybackBytes bounds the news that rides on a probe or on its answer.
@@ -200,38 +205,62 @@
 	m.prober.verify = append(m.prober.verify, e.Addr)
 }
 
-// recheckLoop probes members in doubt and, each second time or when there are none,
-// dead ones: a zone that was cut off is found again by them.
+// recheckLoop probes members in doubt and, in turns of a second, pings dead ones and
+// suspected ones: a zone that was cut off is found again, and a suspicion whose rumours
+// were lost does not end in a death that nobody else could have refuted.
 func (m *Members) recheckLoop(ctx context.Context) {
 	for round := 0; duration.Sleep(ctx, recheckInterval); round++ {
-		addr, doubt := m.nextRecheck(round%4 == 0)
-		switch {
-		case addr == "":
-		case doubt:
-			m.probe(ctx, addr)
-		default:
+		if addr := m.nextPing(round % recheckRounds); addr != "" {
 			m.tasks.Go(func() { m.ping(ctx, addr, pingTimeout) })
+			continue
+		}
+		if addr := m.nextDoubt(); addr != "" {
+			m.probe(ctx, addr)
 		}
 	}
 }
 
-func (m *Members) nextRecheck(dead bool) (addr string, doubt bool) {
+// nextPing returns the member that this round of the recheck pings, or "".
+func (m *Members) nextPing(round int) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if dead {
-		if addr := m.nextDead(); addr != "" {
-			return addr, false
-		}
+	switch round {
+	case deadRound:
+		return m.nextDead()
+	case suspectRound:
+		return m.nextSuspect()
 	}
+	return ""
+}
+
+func (m *Members) nextDoubt() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	p := &m.prober
 	if len(p.verify) == 0 {
-		return "", false
+		return ""
 	}
-	addr, p.verify = p.verify[0], p.verify[1:]
+	addr := p.verify[0]
+	p.verify = p.verify[1:]
 	if e := m.all[addr]; e != nil {
 		e.verifying = false
 	}
-	return addr, true
+	return addr
+}
+
+// nextSuspect returns the suspected member that was not pinged for the longest time.
+func (m *Members) nextSuspect() string {
+	var next *entry
+	for e := range m.suspects {
+		if next == nil || cmp.Or(e.suspicion.checked.Compare(next.suspicion.checked), cmp.Compare(e.Addr, next.Addr)) < 0 {
+			next = e
+		}
+	}
+	if next == nil {
+		return ""
+	}
+	next.suspicion.checked = time.Now()
+	return next.Addr
 }
 
 // nextDead returns a dead member, in zones without a living one first.
--- a/internal/gossip/suspicion.go
+++ b/internal/gossip/suspicion.go
@@ -30,8 +30,9 @@
 )
 
 type suspicion struct {
-	start time.Time
-	from  map[string]struct{}
+	start   time.Time
+	from    map[string]struct{}
+	checked time.Time // when the member was last pinged because of it
 }
 
 // timeout returns the time from the start to the death for n members.
