Keep a stopping node's upstream in reach, and hand it to the successor

A stopping node left as owner at once and ended 2.3 s later; its successor waited up to 1.5 s for the upstream's next announcement. With nodes restarted in turn two of four upstreams were away at a time. At its very end it acknowledges nothing more and spreads what it knew of the upstream as a fact; the successor withdraws the fact, waits for the operator's orders and adopts the upstream, as cold until it speaks itself. Ruled out: the same for killed processes (they may have acknowledged a leave that nobody knows of); asking the upstream's health (it tells neither version nor a leave by DELETE). Delivery's Owner embeds its Config.

--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -52,28 +52,6 @@
 	down   atomic.Bool
 }
 
-// Owner answers for the upstream on this host.
-type Owner struct {
-	gate     *Gate
-	dialer   upstream.Dialer
-	wire     Wire
-	table    func() *routes.Table
-	barred   func(version string) proxy.Reason
-	crashes  *crash.Registry
-	observer Observer
-	events   *events.Recorder
-	cold     ColdBound
-
-	running running
-
-	// mu makes a change of the upstream and of the gate one step.
-	mu sync.Mutex
-	// doubtUntil is until when the upstream counts as cold because its zone came back: it may be so without having said it.
-	doubtUntil time.Time
-	up         atomic.Pointer[current]
-	life       context.Context
-}
-
 // Config has what an owner needs.
 type Config struct {
 	Gate     *Gate
@@ -87,12 +65,24 @@
 	Cold     ColdBound
 }
 
-// New returns an owner without an upstream; ctx ends with the process.
-func New(ctx context.Context, c Config) *Owner {
-	return &Owner{gate: c.Gate, dialer: c.Dialer, wire: c.Wire, table: c.Table, barred: c.Barred, crashes: c.Crashes,
-		observer: c.Observer, events: c.Events, cold: c.Cold, life: ctx}
+// Owner answers for the upstream on this host.
+type Owner struct {
+	Config
+	running running
+
+	// mu makes a change of the upstream and of the gate one step.
+	mu sync.Mutex
+	// doubtUntil is until when the upstream counts as cold because its zone came back: it may be so without having said it.
+	doubtUntil time.Time
+	// leaving is set for good when this node stops.
+	leaving bool
+	up      atomic.Pointer[current]
+	life    context.Context
 }
 
+// New returns an owner without an upstream; ctx ends with the process.
+func New(ctx context.Context, c Config) *Owner { return &Owner{Config: c, life: ctx} }
+
 // maxAnswer bounds an answer of the upstream, in bytes: what a message between nodes carries.
 const maxAnswer = 15 << 20
 
@@ -110,7 +100,7 @@
 	switch {
 	case !present:
 		o.up.Store(nil)
-		o.gate.Close(proxy.ReasonNoUpstream)
+		o.Gate.Close(proxy.ReasonNoUpstream)
 	case u.State != registry.Ready:
 		if old != nil && old.Instance == u.Instance {
 			// What is remembered must say that it leaves: a later order would open the gate again.
@@ -118,7 +108,7 @@
 		} else {
 			o.up.Store(nil)
 		}
-		o.gate.Close(proxy.ReasonDraining)
+		o.Gate.Close(proxy.ReasonDraining)
 	case old != nil && old.Instance == u.Instance && old.Born == u.Born:
 		old.down.Store(false)
 		next := &current{Upstream: u, client: old.client}
@@ -126,7 +116,7 @@
 		o.doubtUntil = time.Time{}
 		o.open(next)
 	default:
-		next := &current{Upstream: u, client: upstream.NewClient(u.Address, o.dialer, o.connections(u.Service), maxAnswer, nil).Speak(o.wire.Dialect())}
+		next := &current{Upstream: u, client: upstream.NewClient(u.Address, o.Dialer, o.connections(u.Service), maxAnswer, nil).Speak(o.Wire.Dialect())}
 		o.up.Store(next)
 		if old != nil {
 			old.client.CloseIdle()
@@ -158,23 +148,34 @@
 // doubtLimit bounds how long an upstream counts as cold for want of an announcement.
 const doubtLimit = 5 * time.Second
 
+// Leave refuses new requests for good, unexecuted: this node stops.
+func (o *Owner) Leave() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.leaving = true
+	o.Gate.Close(proxy.ReasonDraining)
+}
+
 // open sets the gate for an upstream that takes work. o.mu is held.
 func (o *Owner) open(up *current) {
+	if o.leaving {
+		return
+	}
 	rate := 0.0
-	if t := o.table(); t != nil {
+	if t := o.Table(); t != nil {
 		if s := t.Service(up.Service); s != nil {
-			rate = o.cold.allowed(s.ColdPerSecond)
+			rate = o.Cold.allowed(s.ColdPerSecond)
 		}
 	}
 	until := up.ColdUntil
 	if o.doubtUntil.After(until) {
 		until = o.doubtUntil
 	}
-	o.gate.Open(up.Slots, until, rate)
+	o.Gate.Open(up.Slots, until, rate)
 }
 
 func (o *Owner) connections(service string) int {
-	if t := o.table(); t != nil {
+	if t := o.Table(); t != nil {
 		if s := t.Service(service); s != nil && s.MaxConnections > 0 {
 			return max(1, int(float64(s.MaxConnections)*connectionShare))
 		}
@@ -186,7 +187,7 @@
 func (o *Owner) Handle(ctx context.Context, req *proxy.Request) *proxy.Answer {
 	start := time.Now()
 	a := o.handle(ctx, req)
-	a.Load, a.Held = o.gate.Load(), time.Since(start)
+	a.Load, a.Held = o.Gate.Load(), time.Since(start)
 	return a
 }
 
@@ -195,35 +196,35 @@
 	if up == nil {
 		return proxy.Refusal(verdict.NotRun, proxy.ReasonNoUpstream)
 	}
-	bar := o.barred(up.Version)
+	bar := o.Barred(up.Version)
 	switch {
 	case up.Service != req.Service || (req.Version != "" && req.Version != up.Version):
 		return proxy.Refusal(verdict.NotRun, proxy.ReasonMoved)
 	case bar != proxy.ReasonNone:
 		return proxy.Refusal(verdict.NotRun, bar)
-	case o.crashes.Watching() && o.crashes.Blocked(proxy.Fingerprint(req)):
+	case o.Crashes.Watching() && o.Crashes.Blocked(proxy.Fingerprint(req)):
 		return proxy.Refusal(verdict.NotRun, proxy.ReasonCrashing)
 	}
 	now := time.Now()
 	claim := Claim{Rank: req.Rank, Patient: req.Patient, Deadline: now.Add(req.Timeout), Target: now.Add(req.Target)}
-	if refused, ok := o.gate.Acquire(ctx, claim); !ok {
+	if refused, ok := o.Gate.Acquire(ctx, claim); !ok {
 		a := proxy.Refusal(verdict.NotRun, refused.Reason)
 		a.RetryAfter = refused.After
 		return a
 	}
 	// What was decided before the wait may have changed in it.
 	if now := o.up.Load(); now == nil || now.Instance != up.Instance || now.Born != up.Born || now.State != registry.Ready {
-		o.gate.Release(0)
+		o.Gate.Release(0)
 		return proxy.Refusal(verdict.NotRun, proxy.ReasonMoved)
 	}
-	if bar := o.barred(up.Version); bar != proxy.ReasonNone {
-		o.gate.Release(0)
+	if bar := o.Barred(up.Version); bar != proxy.ReasonNone {
+		o.Gate.Release(0)
 		return proxy.Refusal(verdict.NotRun, bar)
 	}
 	o.running.add(req)
 	a := o.send(ctx, up, req)
 	o.running.remove(req)
-	o.gate.Release(a.Took)
+	o.Gate.Release(a.Took)
 	return a
 }
 
@@ -247,7 +248,7 @@
 	if d, ok := ctx.Deadline(); ok {
 		left = time.Until(d)
 	}
-	o.wire.Request(hr, req, up.Instance, left)
+	o.Wire.Request(hr, req, up.Instance, left)
 	if !req.Idempotent {
 		ctx = upstream.WithFresh(ctx)
 	}
@@ -257,18 +258,18 @@
 	if err != nil {
 		return o.failed(ctx, up, req, v, err, took)
 	}
-	a, spoiled := o.wire.Answer(resp, req, v)
+	a, spoiled := o.Wire.Answer(resp, req, v)
 	a.Took = took
 	if spoiled {
-		o.events.Emit(events.CallFailed, events.Fields{"request": req.RequestID, "instance": up.Instance, "reason": proxy.ReasonSpoiled, "status": a.Status})
+		o.Events.Emit(events.CallFailed, events.Fields{"request": req.RequestID, "instance": up.Instance, "reason": proxy.ReasonSpoiled, "status": a.Status})
 		a = proxy.Refusal(verdict.MayHaveRun, proxy.ReasonSpoiled)
 		a.Took = took
 	}
 	if a.Verdict != verdict.NotRun {
-		o.observer.Observe(up.Version, req.Route, spoiled || a.Status >= fasthttp.StatusInternalServerError, took)
+		o.Observer.Observe(up.Version, req.Route, spoiled || a.Status >= fasthttp.StatusInternalServerError, took)
 	}
-	if o.crashes.Watching() && a.Verdict == verdict.Ran {
-		o.crashes.Cleared(proxy.Fingerprint(req))
+	if o.Crashes.Watching() && a.Verdict == verdict.Ran {
+		o.Crashes.Cleared(proxy.Fingerprint(req))
 	}
 	return a
 }
@@ -289,10 +290,10 @@
 	case !up.client.Accepts(ctx) && ctx.Err() == nil:
 		reason = proxy.ReasonCrashed
 		o.lost(up, err)
-		o.crashes.Blame(proxy.Fingerprint(req), up.Instance)
+		o.Crashes.Blame(proxy.Fingerprint(req), up.Instance)
 	}
 	if reason != proxy.ReasonCancelled && v != verdict.NotRun {
-		o.observer.Observe(up.Version, req.Route, true, took)
+		o.Observer.Observe(up.Version, req.Route, true, took)
 	}
 	a := proxy.Refusal(v, reason)
 	if v != verdict.NotRun {
@@ -307,10 +308,10 @@
 	if up.down.Swap(true) {
 		return
 	}
-	o.events.Emit(events.UpstreamGone, events.Fields{"service": up.Service, "instance": up.Instance, "reason": err.Error()})
+	o.Events.Emit(events.UpstreamGone, events.Fields{"service": up.Service, "instance": up.Instance, "reason": err.Error()})
 	o.mu.Lock()
 	if o.up.Load() == up {
-		o.gate.Close(proxy.ReasonDown)
+		o.Gate.Close(proxy.ReasonDown)
 	}
 	o.mu.Unlock()
 	go o.probe(up)
@@ -350,17 +351,17 @@
 	defer fasthttp.ReleaseRequest(hr)
 	defer fasthttp.ReleaseResponse(resp)
 	path := ""
-	if t := o.table(); t != nil && t.Service(up.Service) != nil {
+	if t := o.Table(); t != nil && t.Service(up.Service) != nil {
 		path = t.Service(up.Service).HealthPath
 	}
 	if path == "" || !up.client.Accepts(ctx) {
 		return Health{}, false
 	}
-	o.wire.Probe(hr, path)
+	o.Wire.Probe(hr, path)
 	if _, err := up.client.Do(ctx, hr, resp); err != nil {
 		return Health{}, false // the next probe tells
 	}
-	return o.wire.Health(resp), true
+	return o.Wire.Health(resp), true
 }
 
 func (o *Owner) revive(up *current, h Health) {
@@ -372,6 +373,6 @@
 	next := &current{Upstream: up.Upstream, client: up.client}
 	next.ColdUntil = time.Now().Add(h.Cold)
 	o.up.Store(next)
-	o.events.Emit(events.UpstreamBack, events.Fields{"service": up.Service, "instance": up.Instance, "cold_ms": h.Cold.Milliseconds()})
+	o.Events.Emit(events.UpstreamBack, events.Fields{"service": up.Service, "instance": up.Instance, "cold_ms": h.Cold.Milliseconds()})
 	o.open(next)
 }
--- a/internal/delivery/owner_test.go
+++ b/internal/delivery/owner_test.go
@@ -42,3 +42,18 @@
 		})
 	}
 }
+
+// A node that stops refuses new requests unexecuted, and what its upstream announces meanwhile
+// does not open the gate again.
+func TestOwnerThatLeavesTakesNothingMore(t *testing.T) {
+	o := newOwner(t)
+	u := registry.Upstream{Announcement: registry.Announcement{Service: "stock", Instance: "i-1", Address: "127.0.0.1:9", Slots: 4}}
+	o.SetUpstream(u, true)
+	o.Leave()
+	o.SetUpstream(u, true)
+	o.Refresh()
+	a := o.Handle(context.Background(), &proxy.Request{Service: "stock", Timeout: time.Second, Target: time.Second})
+	if a.Verdict != verdict.NotRun || a.Reason != proxy.ReasonDraining || !a.Load.Draining {
+		t.Errorf("%v %s, load %+v", a.Verdict, a.Reason, a.Load)
+	}
+}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -315,14 +315,18 @@
 // leaveFanout is how many members are told at once that this node leaves.
 const leaveFanout = 8
 
-// Leave tells a few members that this node goes; they hand it on.
-func (m *Members) Leave(ctx context.Context) {
+// Leave tells a few members that this node goes, and its last facts; they hand both on.
+func (m *Members) Leave(ctx context.Context, last ...Fact) {
 	m.mu.Lock()
 	m.left = true
 	m.self.Status = Left
 	m.self.Incarnation++
 	m.put(m.self, classUrgent)
-	pack := (&news{Members: []memberWire{toWire(m.self)}}).encode()
+	n := news{Members: []memberWire{toWire(m.self)}}
+	for _, f := range last {
+		n.Facts = append(n.Facts, factToWire(f))
+	}
+	pack := n.encode()
 	m.mu.Unlock()
 	m.send(ctx, m.sample(leaveFanout), pack)
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -56,11 +56,13 @@
 	// lease is how long an announcement holds without another.
 	lease time.Duration
 
-	mu       sync.Mutex
-	current  Upstream
-	present  bool
-	ended    map[string]int64 // instances that said that they end, with their Born
-	onChange func(u Upstream, present bool)
+	mu      sync.Mutex
+	current Upstream
+	present bool
+	// handedOver is set once a successor of this process answers for the upstream.
+	handedOver bool
+	ended      map[string]int64 // instances that said that they end, with their Born
+	onChange   func(u Upstream, present bool)
 }
 
 // leaseIntervals is how many usual intervals may pass without an announcement; they may
@@ -86,6 +88,10 @@
 		r.ignore(a, "not the upstream of this host")
 		return false
 	}
+	if r.handedOver {
+		r.ignore(a, "this node stops; its successor answers for the upstream")
+		return false
+	}
 	if reason := r.outdated(a); reason != "" {
 		r.ignore(a, reason)
 		return true
@@ -139,13 +145,17 @@
 }
 
 // End takes in that a process ends. Without a known process of that name it is remembered,
-// so that a late announcement of it is not believed.
-func (r *Registry) End(instance string, born int64) {
+// so that a late announcement of it is not believed. It reports false when a successor of this
+// process answers for the upstream.
+func (r *Registry) End(instance string, born int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.handedOver {
+		return false
+	}
 	if r.present && r.current.Instance == instance {
 		if born > 0 && r.current.Born > 0 && born < r.current.Born {
-			return // of an earlier process with the same name
+			return true // of an earlier process with the same name
 		}
 		born = max(born, r.current.Born)
 	}
@@ -154,11 +164,38 @@
 	}
 	r.ended[instance] = max(r.ended[instance], born)
 	if !r.present || r.current.Instance != instance || r.current.State == Gone {
-		return
+		return true
 	}
 	r.current.State = Gone
 	r.report(r.current.Announcement)
 	r.onChange(r.current, true)
+	return true
+}
+
+// HandOver ends the duty for the upstream: from now on nothing that it says is acknowledged, so
+// that what is returned stays true for a successor. ok is false without an upstream that takes work.
+func (r *Registry) HandOver() (u Upstream, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.handedOver = true
+	return r.current, r.present && r.current.State == Ready
+}
+
+// Adopt takes over what a predecessor knew of the upstream, unless the upstream has spoken to this
+// process already; it reports whether it did. Until the upstream speaks it counts as cold: it may
+// have turned so while nobody listened.
+func (r *Registry) Adopt(a Announcement) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ended := r.ended[a.Instance]
+	if r.handedOver || r.current.Instance != "" || ended || a.State != Ready || a.Service != r.service || a.Address != r.address {
+		return false
+	}
+	now := time.Now()
+	r.current, r.present = Upstream{Announcement: a, Heard: now, ColdUntil: now.Add(r.lease)}, true
+	r.report(a)
+	r.onChange(r.current, true)
+	return true
 }
 
 // Expire drops an upstream that has not announced itself for long; call it now and then.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -101,3 +101,39 @@
 		}
 	})
 }
+
+// What a predecessor hands over holds until the upstream speaks, as cold, and never against it.
+func TestAdoptedUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before, _, _ := follow()
+		before.Announce(announcement("i-1", 5, 100))
+		handed, ok := before.HandOver()
+		if !ok || before.Announce(announcement("i-1", 6, 100)) || before.End("i-1", 100) {
+			t.Error("acknowledged after the hand-over")
+		}
+		r, u, present := follow()
+		if !r.Adopt(handed.Announcement) || !*present || u.Instance != "i-1" || !u.ColdUntil.After(time.Now()) {
+			t.Errorf("not adopted as cold: %+v", u)
+		}
+		r.Announce(announcement("i-1", 5, 100)) // held up; from before
+		if r.Announce(announcement("i-1", 6, 100)); u.ColdUntil.After(time.Now()) {
+			t.Error("cold though the upstream said that it is not")
+		}
+		r.End("i-1", 100)
+		if r.Adopt(handed.Announcement) || u.State != Gone {
+			t.Error("adopted after its end")
+		}
+		unknown, _, known := follow()
+		unknown.End("i-1", 100)
+		if unknown.Adopt(handed.Announcement) || *known {
+			t.Error("adopted though it said that it ends")
+		}
+		leaving, _, _ := follow()
+		gone := announcement("i-1", 1, 100)
+		gone.State = Draining
+		leaving.Announce(gone)
+		if _, ok := leaving.HandOver(); ok {
+			t.Error("an upstream that leaves is handed over")
+		}
+	})
+}
--- a/internal/sidecar/life.go
+++ b/internal/sidecar/life.go
@@ -8,7 +8,6 @@
 	"unsafe"
 
 	"celerybank/internal/events"
-	"celerybank/internal/gossip"
 )
 
 // lifecycle is what the node knows of its own start, stops and sleeps.
@@ -21,17 +20,6 @@
 
 func (l *lifecycle) trusts() bool { return time.Now().UnixNano() >= l.doubt.Load() }
 
-// Times of a planned stop.
-const (
-	// readyMisses is how long callers may still come after the node has said that it is not
-	// ready: two checks, one a second, and their answers.
-	readyMisses = 2300 * time.Millisecond
-	// drainPoll is the time between two looks at the requests in flight.
-	drainPoll = 20 * time.Millisecond
-	// graceMargin is the part of the grace period after which the node ends with requests in flight.
-	graceMargin = 0.95
-)
-
 // ready reports whether callers may send requests to this node.
 func (n *Node) ready() bool {
 	select {
@@ -42,34 +30,6 @@
 	}
 }
 
-// drain tells callers and nodes that this node goes, and waits until nothing is in flight.
-func (n *Node) drain() {
-	start := time.Now()
-	n.events.Emit(events.Draining, events.Fields{"inflight": n.ingress.Inflight(), "running": n.gate.Running()})
-	n.life.draining.Store(true)
-	n.members.Update(func(m *gossip.Member) { m.Draining = true })
-	limit := time.Duration(graceMargin * float64(n.settings.Bounds.Grace))
-	for closed := false; time.Since(start) < limit; time.Sleep(drainPoll) {
-		if time.Since(start) < readyMisses {
-			continue
-		}
-		if !closed {
-			n.ingress.Drain()
-			closed = true
-		}
-		if n.ingress.Inflight() == 0 && n.gate.Running() == 0 {
-			break
-		}
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancel()
-	n.members.Leave(ctx)
-	n.events.Emit(events.Stopped, events.Fields{"cut": n.ingress.Inflight() + int64(n.gate.Running())})
-}
-
-// leaveTimeout bounds the message by which a node leaves.
-const leaveTimeout = 200 * time.Millisecond
-
 // Sleeps of the process.
 const (
 	// sleepLimit is the least time without the processor after which beliefs count as old: it
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -50,6 +50,7 @@
 	dispatch *dispatch.Dispatcher
 	ingress  *ingress.Server
 	metrics  *callMetrics
+	heir     heir
 	life     lifecycle
 }
 
@@ -68,7 +69,7 @@
 
 // New wires the duties together; nothing runs yet. ctx ends with the process.
 func New(ctx context.Context, s platform.Settings, network peer.Network, ev *events.Recorder) *Node {
-	n := &Node{settings: s, network: network, events: ev}
+	n := &Node{settings: s, network: network, events: ev, heir: newHeir()}
 	n.store = platform.NewClient(s.Store.Address, platform.CallTimeout, network.Dial)
 	operator := platform.NewOperator(n.store)
 	n.pool = peer.NewPool(network, ev, nil)
@@ -80,6 +81,7 @@
 	n.follower = orders.NewFollower(n.board, operator, n.pool, n.members, ev)
 	n.balancer = balance.New(s.Zone)
 	n.members.Subscribe(n.balancer.Update)
+	n.members.SubscribeFacts(func(f gossip.Fact) { n.heir.learn(s.Peers, f) })
 	n.crashes = crash.New(n.members, ev)
 	n.gate = delivery.NewGate()
 	n.canaries = canary.New(canary.Config{Addr: s.Peers, Members: n.members, Peers: n.pool, View: n.board.View, Statuses: platform.NewStatuses(n.store), Events: ev,
@@ -185,7 +187,7 @@
 	}
 	wg.Go(func() { _ = n.ingress.Serve(callers) })
 	for _, task := range []func(context.Context) error{func(ctx context.Context) error { return n.server.Serve(ctx, peers) },
-		n.members.Run, n.follower.Run, search.Run, n.probeZones, n.canaries.Run, n.housekeeping} {
+		n.members.Run, n.follower.Run, search.Run, n.inherit, n.probeZones, n.canaries.Run, n.housekeeping} {
 		wg.Go(func() {
 			if err := task(life); err != nil {
 				n.events.Emit(events.TaskFailed, events.Fields{"reason": err.Error()})
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -83,8 +83,11 @@
 	return a.Status, string(a.Body)
 }
 
+// readiness asks on a new connection each time: one that is kept leads to a node that has ended.
+var readiness = http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 func (h *host) ready() bool {
-	resp, err := http.Get("http://" + h.at(counterpart.ReadyPort) + platform.ReadyPath)
+	resp, err := readiness.Get("http://" + h.at(counterpart.ReadyPort) + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -136,22 +139,27 @@
 	}
 	server := &http.Server{Handler: h}
 	go func() { _ = server.Serve(l) }()
-	s, err := platform.ParseSettings(counterpart.Settings{Name: "n-" + ip, IP: ip, Zone: zone, Service: "stock", Upstream: h.at(counterpart.UpstreamPort), Store: m.store}.File())
-	if err != nil {
-		m.t.Fatal(err)
-	}
-	var ctx context.Context
-	ctx, h.stop = context.WithCancel(context.Background())
-	h.node = New(ctx, s, peer.TCP{From: net.ParseIP(ip)}, events.New(s.Name, zone, nil))
-	go func() { h.ended <- h.node.Run(ctx) }()
 	m.t.Cleanup(func() {
 		h.stop()
 		<-h.ended
 		_ = server.Close()
 	})
+	m.startNode(h)
 	return h
 }
 
+// startNode starts the node on a host; its upstream runs already.
+func (m *mesh) startNode(h *host) {
+	s, err := platform.ParseSettings(counterpart.Settings{Name: "n-" + h.ip, IP: h.ip, Zone: h.zone, Service: "stock", Upstream: h.at(counterpart.UpstreamPort), Store: m.store}.File())
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	var ctx context.Context
+	ctx, h.stop = context.WithCancel(context.Background())
+	h.node = New(ctx, s, peer.TCP{From: net.ParseIP(h.ip)}, events.New(s.Name, h.zone, nil))
+	go func() { h.ended <- h.node.Run(ctx) }()
+}
+
 // shop is the host that callers name.
 const shop = "shop.example"
 
@@ -246,6 +254,37 @@
 	}
 }
 
+// Pattern: nodes are stopped and started in turn while their upstreams run on. The successor
+// reaches the upstream before that speaks again, and not when the upstream said that it leaves.
+func TestSuccessorInheritsItsUpstream(t *testing.T) {
+	m := startMesh(t, "a", "b")
+	near, far := m.hosts[0], m.hosts[1]
+	m.config(1, "/one/")
+	for _, h := range m.hosts {
+		eventually(t, "the upstream is acknowledged", func() bool { return h.announce(false) })
+		eventually(t, "all nodes are known", func() bool { return h.node.living() == len(m.hosts) })
+	}
+	m.order(counterpart.ZoneOut("a"))
+	eventually(t, "the far upstream serves", func() bool { _, body := near.get("/one/x"); return body == "b /one/x " })
+	restart := func() {
+		far.stop()
+		if err := <-far.ended; err != nil {
+			t.Fatal(err)
+		}
+		m.startNode(far)
+		eventually(t, "the successor is known", func() bool { return near.node.living() == len(m.hosts) && far.ready() })
+	}
+	restart()
+	eventually(t, "the far upstream serves again", func() bool { _, body := near.get("/one/y"); return body == "b /one/y " })
+
+	eventually(t, "the leave is acknowledged", func() bool { return far.announce(true) })
+	ran := far.runs.Load()
+	restart()
+	if status, _ := near.get("/one/z"); status == http.StatusOK || far.runs.Load() != ran {
+		t.Errorf("%d, %d requests after the leave was acknowledged", status, far.runs.Load()-ran)
+	}
+}
+
 // Settings that change while the node runs: a faulty file changes nothing, a good one the store's address.
 func TestReload(t *testing.T) {
 	m := startMesh(t, "a")
