--- a/internal/rollout/assess_test.go
+++ b/internal/rollout/assess_test.go
@@ -68,6 +68,7 @@
 // The chance that a good version is found bad in 120 looks stays under one in a hundred,
 // at any error ratio that both versions share.
 func TestFalsePositiveRate(t *testing.T) {
+	t.Parallel()
 	const trials, looks = 150, 120
 	for _, rate := range []float64{2, 50, 400} {
 		for _, ratio := range []float64{0, 0.001, 0.01, 0.05, 0.3} {
@@ -88,6 +89,7 @@
 
 // A bad version is found: how many looks it takes, and that none is missed.
 func TestPower(t *testing.T) {
+	t.Parallel()
 	const trials, looks = 100, 120
 	for _, c := range []struct{ rate, oldRatio, newRatio float64 }{{50, 0, 1}, {50, 0, 0.3}, {50, 0.01, 0.3}, {400, 0, 0.05}, {400, 0.01, 0.05}} {
 		rng := rand.New(rand.NewPCG(9, 9))
--- a/internal/rollout/moves_test.go
+++ b/internal/rollout/moves_test.go
@@ -33,6 +33,7 @@
 }
 
 func TestGoodVersionIsDoneInTime(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 1, time.Minute, testWork, busy, standin.Faults{}, func(f *fleet) {
 		f.ends(time.Minute, mesh.MoveDone)
 		if f.counts().lost > 0 || !f.move().Ended.Before(f.by) {
@@ -42,6 +43,7 @@
 }
 
 func TestVersionBadAtOnceIsTakenBack(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 1, time.Minute, testWork, busy, standin.Faults{FailShare: 1}, func(f *fleet) {
 		f.takenBack(time.Minute, int(smallShare*20*busy.rate), "failed")
 		t.Log(f.summary())
@@ -49,6 +51,7 @@
 }
 
 func TestVersionBadLaterIsTakenBackSoon(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 2, time.Minute, testWork, busy, standin.Faults{}, func(f *fleet) {
 		f.Eventually(time.Minute, "half of the traffic", func() bool { return f.move().Share >= mesh.FullShare/2 })
 		time.Sleep(time.Second)
@@ -64,6 +67,7 @@
 
 // One upstream of the new version gets the load of a finished move while the share is a third.
 func TestVersionBadUnderLoadIsTakenBackAtASmallShare(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 3, time.Minute, 100*time.Millisecond, busy, standin.Faults{FailAbove: 5}, func(f *fleet) {
 		top := 0
 		f.Eventually(time.Minute, "taken back", func() bool {
@@ -79,6 +83,7 @@
 }
 
 func TestVersionBadOnARareRouteIsTakenBack(t *testing.T) {
+	t.Parallel()
 	load := traffic{rate: 100, paths: map[string]float64{"/rare": 0.01}}
 	withFleet(t, 4, time.Minute, testWork, load, standin.Faults{FailShare: 1, FailRoute: "/rare"}, func(f *fleet) {
 		f.takenBack(time.Minute, 20, "route rare")
@@ -87,6 +92,7 @@
 }
 
 func TestSlowVersionIsTakenBack(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 5, time.Minute, testWork, busy, standin.Faults{Slow: 30 * time.Millisecond}, func(f *fleet) {
 		f.takenBack(time.Minute, 0, "slower")
 		if f.counts().newCalls > int(smallShare*20*busy.rate) {
@@ -98,6 +104,7 @@
 
 // A version that leaves requests without an answer is found by the timeouts.
 func TestSilentVersionIsTakenBack(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 6, time.Minute, testWork, busy, standin.Faults{Slow: time.Hour}, func(f *fleet) {
 		f.takenBack(time.Minute, int(smallShare*20*busy.rate), "failed")
 		t.Log(f.summary())
@@ -105,6 +112,7 @@
 }
 
 func TestQuietService(t *testing.T) {
+	t.Parallel()
 	quiet := traffic{rate: 0.5}
 	t.Run("good", func(t *testing.T) {
 		withFleet(t, 7, time.Minute, testWork, quiet, standin.Faults{}, func(f *fleet) {
@@ -126,6 +134,7 @@
 }
 
 func TestVersionBadAfterDoneIsTakenBack(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 10, time.Minute, testWork, busy, standin.Faults{}, func(f *fleet) {
 		f.ends(time.Minute, mesh.MoveDone)
 		time.Sleep(3 * time.Minute)
@@ -146,6 +155,7 @@
 
 // A fault that both versions share, as of a service behind them, is no reason to take a version back.
 func TestFaultOfBothVersionsTakesNothingBack(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 11, 2*time.Minute, testWork, busy, standin.Faults{}, func(f *fleet) {
 		f.Eventually(time.Minute, "a tenth of the traffic", func() bool { return f.move().Share >= mesh.FullShare/10 })
 		both := func(faults standin.Faults) {
@@ -163,6 +173,7 @@
 
 // A zone that serves has to have the new version too before its share grows.
 func TestZoneWithoutNewVersion(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 12, 2*time.Minute, testWork, busy, standin.Faults{}, func(f *fleet) {
 		f.Eventually(time.Minute, "a first share", func() bool { return f.move().Share > 0 })
 		f.host(3, 2).KillUpstream()
--- a/internal/rollout/platform_test.go
+++ b/internal/rollout/platform_test.go
@@ -15,6 +15,7 @@
 
 // While the log is down no share grows, a veto works at once, and it is recorded afterwards.
 func TestPlatformDownInTheMiddleOfAMove(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 20, 2*time.Minute, testWork, busy, standin.Faults{}, func(f *fleet) {
 		f.Eventually(time.Minute, "a tenth of the traffic", func() bool { return f.move().Share >= mesh.FullShare/10 })
 		f.outage(true)
@@ -40,6 +41,7 @@
 
 // The log comes back after the time of the move: a version that could not be shown to be good is taken back.
 func TestPlatformDownPastTheTimeOfAMove(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 21, 30*time.Second, testWork, busy, standin.Faults{}, func(f *fleet) {
 		f.Eventually(time.Minute, "a first share", func() bool { return f.move().Share > 0 })
 		f.outage(true)
@@ -52,6 +54,7 @@
 // A judge that wakes up after the version was vetoed and taken back, or replaced by
 // another judge's step, appends its old step: nothing changes.
 func TestFrozenJudgeAppendsAnOldStep(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 22, time.Minute, testWork, busy, standin.Faults{}, func(f *fleet) {
 		f.Eventually(time.Minute, "a tenth of the traffic", func() bool { return f.move().Share >= mesh.FullShare/10 })
 		m, st := f.move(), f.host(1, 1).Node.Store().State()
@@ -110,6 +113,7 @@
 // Two judges race at each step and every third answer of the log is lost: the first in
 // the log wins, the shares grow as with one judge, and the good version is done in time.
 func TestJudgesRace(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 23, time.Minute, testWork, busy, standin.Faults{}, func(f *fleet) {
 		f.Log.SetFaults(configlog.Faults{LoseEvery: 3, Delay: 50 * time.Millisecond})
 		last, changed := 0, time.Time{}
@@ -129,6 +133,7 @@
 
 // A killed judge is replaced and the move goes on.
 func TestJudgeDies(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 24, 90*time.Second, testWork, busy, standin.Faults{}, func(f *fleet) {
 		f.Eventually(time.Minute, "a first share", func() bool { return f.move().Share > 0 })
 		var judge *testmesh.Host
@@ -165,6 +170,7 @@
 // An availability zone that is cut off goes on serving reads. Neither it nor the others,
 // without sight of most zones, step up.
 func TestNoStepUpWithoutSightOfMostZones(t *testing.T) {
+	t.Parallel()
 	withFleet(t, 25, 3*time.Minute, testWork, busy, standin.Faults{}, func(f *fleet) {
 		f.Eventually(time.Minute, "a first share", func() bool { return f.move().Share > 0 })
 		f.Net.Cut(func(from, to string) bool {
--- a/internal/rollout/seeds_test.go
+++ b/internal/rollout/seeds_test.go
@@ -123,6 +123,7 @@
 // CELERYBANK_BENCH set the figures are printed as JSON, one object a line;
 // CELERYBANK_SEEDS says how many versions of each kind there are.
 func TestBenchVersions(t *testing.T) {
+	t.Parallel()
 	var good, bad, goodRight, badRight int
 	var lines []measurement
 	for _, k := range versionKinds {
