Soak: proxies between nodes, a store that forgets its history, moves to good and bad versions

Connections between nodes were harmed by SIGSTOP only, and neither moves nor a forgotten history came (SOAK.md, not covered). A node can listen for peers elsewhere than where they connect (--bind-peers), so a proxy stands between nodes; the stand-in of the store keeps the newest record of each key when its history goes, as published; the soak starts upstreams of a new version on added hosts, orders the move, ends the old ones at once when it is completed and lets the new ones leave when it is taken back. New promise: a bad version gets at most a tenth and 50 more, and is never completed; its test breaks it.

--- a/cmd/celerysidecar/main.go
+++ b/cmd/celerysidecar/main.go
@@ -33,12 +33,13 @@
 	var lines events.Limits
 	app.Flag("log-lines", "Lines of one event in a second.").Default(strconv.Itoa(events.LinesPerSecond)).IntVar(&lines.LinesPerSecond)
 	app.Flag("log-served", "Write a line for one in so many requests that went well; 0: for none.").Default("0").IntVar(&lines.ServedEvery)
+	bind := app.Flag("bind-peers", "Listen for peers at this IP:port, where a port forwarder stands before the address that they connect to.").String()
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	command.Exit("celerysidecar", run(*path, lines, *check))
+	command.Exit("celerysidecar", run(*path, *bind, lines, *check))
 }
 
-func run(path string, lines events.Limits, checkOnly bool) error {
+func run(path, bind string, lines events.Limits, checkOnly bool) error {
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -59,6 +60,9 @@
 	if ap, err := netip.ParseAddrPort(s.Peers); err == nil {
 		network.From = ap.Addr().AsSlice()
 	}
+	if bind != "" {
+		network.Bind = map[string]string{s.Peers: bind}
+	}
 	stop, _ := command.Signals()
 	n := sidecar.New(stop, s, network, ev)
 	go n.Reload(stop, path)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,8 +20,13 @@
 	Listen(addr string) (net.Listener, error)
 }
 
-// TCP is the Network of a running node. From, when set, is the local IP of outgoing connections.
-type TCP struct{ From net.IP }
+// TCP is the Network of a running node.
+type TCP struct {
+	// From, when set, is the local IP of outgoing connections.
+	From net.IP
+	// Bind has where to listen for what others reach at another address, as behind a port forwarder.
+	Bind map[string]string
+}
 
 // Dial connects to addr (IP:port).
 func (t TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
@@ -32,8 +37,13 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// Listen listens on addr (IP:port).
-func (TCP) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+// Listen listens on addr (IP:port), or where Bind says.
+func (t TCP) Listen(addr string) (net.Listener, error) {
+	if at, ok := t.Bind[addr]; ok {
+		addr = at
+	}
+	return net.Listen("tcp", addr)
+}
 
 // ErrNotSent wraps failures in which no byte of the call left this node.
 var ErrNotSent = errors.New("call not sent")
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -23,6 +23,9 @@
 	coldPerS      = 15.0
 	coldOvershoot = 1.5
 	coldSlack     = 5
+	// badShare and badSlack bound the requests to a bad version among those to its service.
+	badShare = 0.1
+	badSlack = 50
 	// recoveredShare is the part of the requests that must be served after a loss, of leastRequests or more.
 	recoveredShare = 0.25
 	leastRequests  = 20
@@ -44,6 +47,7 @@
 	NewestConfig Promise = "no request is handled by an older configuration past its bound"
 	PlannedStops Promise = "a planned stop cuts no request"
 	KeptRequests Promise = "requests of kept connections are answered"
+	BadVersions  Promise = "a bad version gets a small share and is taken back"
 	Recovers     Promise = "service is back after a loss"
 )
 
@@ -109,6 +113,7 @@
 	cold       map[string]*cold
 	configs    []*config
 	zones      map[string]*zoneOrder
+	move       *move // of a bad version, under way
 	lost       []string
 	losses     []time.Time // ends of losses of all hosts
 }
@@ -131,7 +136,7 @@
 }
 
 // Run is a request that an upstream begins to run.
-type Run struct{ ID, Instance, Host, Service, Zone string }
+type Run struct{ ID, Instance, Host, Service, Zone, Version string }
 
 // Ran takes in that an upstream begins to run a request.
 func (c *Checker) Ran(r Run) {
@@ -154,6 +159,7 @@
 		c.broken(Leaving, now, "%s reached %s %v after its leaving was acknowledged", r.ID, r.Instance, now.Sub(at).Round(time.Millisecond))
 	}
 	c.checkZone(r, now)
+	c.checkVersion(r, now)
 	c.checkConfig(q, r, now)
 	if k := c.cold[r.Instance]; k != nil && now.Before(k.until) {
 		c.checkCold(k, r, now)
@@ -201,6 +207,45 @@
 	}
 }
 
+// move is one to a bad version, and the requests that ran meanwhile.
+type move struct {
+	service, version string
+	all, bad         int
+}
+
+// BadVersion takes in that the operator orders a move to a bad version; call the result with
+// whether the system says that it is completed, once it says how it ended.
+func (c *Checker) BadVersion(service, version string) (ended func(completed bool)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := &move{service: service, version: version}
+	c.move = m
+	return func(completed bool) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.move = nil
+		if completed {
+			c.broken(BadVersions, time.Now(), "%s of %s is completed", version, service)
+		}
+	}
+}
+
+// checkVersion counts the requests of a move to a bad version.
+func (c *Checker) checkVersion(r Run, now time.Time) {
+	m := c.move
+	if m == nil || m.service != r.Service {
+		return
+	}
+	m.all++
+	if m.version != r.Version {
+		return
+	}
+	m.bad++
+	if allowed := badShare*float64(m.all) + badSlack; float64(m.bad) > allowed && float64(m.bad) <= allowed+1 {
+		c.broken(BadVersions, now, "%s of %s got %d of %d requests", m.version, m.service, m.bad, m.all)
+	}
+}
+
 // Reply is how an attempt ended for its caller.
 type Reply struct {
 	Status int
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -86,6 +86,18 @@
 				c.Cut(id, true)
 			}
 		},
+		BadVersions: func(c *Checker, breaks bool) {
+			defer c.BadVersion("stock", "v2")(false)
+			for i := range 2 * badSlack {
+				id := fmt.Sprint("r", i)
+				c.Sent(id, "h1", "/p/", true)
+				version := "v1"
+				if breaks || i%4 == 0 {
+					version = "v2"
+				}
+				c.Ran(Run{ID: id, Instance: "i-1", Host: "h1", Service: "stock", Zone: "a", Version: version})
+			}
+		},
 		Recovers: func(c *Checker, breaks bool) {
 			c.Disturb(Loss, "")()
 			time.Sleep(recoverWithin + time.Millisecond)
@@ -137,3 +149,11 @@
 		}
 	})
 }
+
+func TestCompletedBadVersionIsCaught(t *testing.T) {
+	c := NewChecker()
+	c.BadVersion("stock", "v2")(true)
+	if found, _ := c.Finish(); len(found) != 1 || found[0].Promise != BadVersions {
+		t.Errorf("%v", found)
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -30,13 +30,21 @@
 	UpstreamSlow   Kind = "an upstream answers late"
 	UpstreamCrash  Kind = "an upstream crashes"
 	UpstreamLeave  Kind = "an upstream leaves and another takes its place"
+	PeersReset     Kind = "connections between nodes are reset"
+	PeersSilent    Kind = "connections between nodes go silent"
+	PeersSlow      Kind = "connections between nodes are slow"
+	PeersOneWay    Kind = "what nodes say to some does not arrive"
+	StoreForgets   Kind = "the store forgets its history"
+	GoodVersion    Kind = "a service moves to a good version"
+	BadVersion     Kind = "a service moves to a bad version"
 	NewConfig      Kind = "a configuration moves a route"
 	ConfigStorm    Kind = "configurations in quick succession"
 	ZoneOutIn      Kind = "a zone is taken out and back"
 )
 
 var kinds = []Kind{Terminate, RollTerminate, Kill, KillAll, Pause, StoreAway, StoreSlow, StoreLoses, StorePartial, StoreSilent, StoreOneWay,
-	CallersReset, CallersSlow, UpstreamReset, UpstreamSilent, UpstreamSlow, UpstreamCrash, UpstreamLeave, NewConfig, ConfigStorm, ZoneOutIn}
+	CallersReset, CallersSlow, UpstreamReset, UpstreamSilent, UpstreamSlow, UpstreamCrash, UpstreamLeave,
+	PeersReset, PeersSilent, PeersSlow, PeersOneWay, StoreForgets, GoodVersion, BadVersion, NewConfig, ConfigStorm, ZoneOutIn}
 
 // Trouble is one thing that happens in a run.
 type Trouble struct {
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -17,16 +17,21 @@
 	callersProxyPort  = 9300
 	upstreamProxyPort = 9301
 	storeProxyPort    = 9309
+	// nodes listen for peers here; a proxy stands at the address that peers connect to.
+	peersBehindProxyPort = 9302
 )
 
 // host is one node, a process of its own, with its upstream and the proxies around it.
 type host struct {
 	name, ip, zone, service string
-	program, dir            string
-
-	callers, upstreams, store *proxy
-	up                        *upstream
-	starts                    int
+	// version is that of the upstream's software; bad ones fail a part of their requests.
+	version      string
+	bad          bool
+	program, dir string
+
+	callers, upstreams, store, peers *proxy
+	up                               *upstream
+	starts                           int
 	// changing is held while the upstream is replaced, restarting while the node is.
 	changing, restarting sync.Mutex
 
@@ -43,7 +48,7 @@
 		at     int
 		target string
 	}{{&h.callers, callersProxyPort, h.at(counterpart.CallersPort)}, {&h.upstreams, upstreamProxyPort, h.at(counterpart.UpstreamPort)},
-		{&h.store, storeProxyPort, store}} {
+		{&h.store, storeProxyPort, store}, {&h.peers, counterpart.PeersPort, h.at(peersBehindProxyPort)}} {
 		x, err := newProxy(h.at(p.at), p.target)
 		if err != nil {
 			return err
@@ -58,7 +63,7 @@
 
 // start runs the node.
 func (h *host) start() error {
-	p, err := startProcess(filepath.Join(h.dir, h.name+".log"), h.program, "--settings", h.settings())
+	p, err := startProcess(filepath.Join(h.dir, h.name+".log"), h.program, "--settings", h.settings(), "--bind-peers", h.at(peersBehindProxyPort))
 	if err != nil {
 		return err
 	}
@@ -84,7 +89,7 @@
 	if h.up != nil {
 		h.up.crash()
 	}
-	for _, p := range []*proxy{h.callers, h.upstreams, h.store} {
+	for _, p := range []*proxy{h.callers, h.upstreams, h.store, h.peers} {
 		if p != nil {
 			p.close()
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -63,7 +63,9 @@
 // soak is a run under way.
 type soak struct {
 	Config
-	checker  *Checker
+	checker *Checker
+	// base is the first three numbers of the IPs of the run.
+	base     string
 	hosts    []*host
 	store    *process
 	storeAt  string
@@ -75,6 +77,9 @@
 	// routes maps prefixes to services.
 	routes map[string]string
 	out    map[int]bool
+	// moves counts the rollouts; one runs at a time.
+	moves  int
+	moving bool
 }
 
 // prefixes maps those of the routes to whether their requests are safe.
@@ -119,17 +124,11 @@
 		return err
 	}
 	s.operator = platform.NewLog(s.storeAt, time.Second, peer.TCP{}.Dial)
+	s.base = base
 	for i := range s.Hosts {
-		h := &host{name: fmt.Sprint("h", i), ip: fmt.Sprint(base, 10+i), zone: zoneName(i % zones), service: services[i/zones%len(services)],
-			program: filepath.Join(s.Programs, "celerysidecar"), dir: s.Dir}
+		h := s.newHost(fmt.Sprint("h", i), 10+i, i%zones, services[i/zones%len(services)])
 		s.hosts = append(s.hosts, h)
-		if err := h.prepare(s.storeAt); err != nil {
-			return err
-		}
-		if err := h.start(); err != nil {
-			return err
-		}
-		if h.up, err = startUpstream(ctx, h, s.checker, false); err != nil {
+		if err := h.boot(ctx, s, false); err != nil {
 			return err
 		}
 	}
@@ -159,6 +158,24 @@
 	}
 }
 
+// newHost returns a host that is not started; number is the last of its IP.
+func (s *soak) newHost(name string, number, zone int, service string) *host {
+	return &host{name: name, ip: fmt.Sprint(s.base, number), zone: zoneName(zone), service: service, version: firstVersion,
+		program: filepath.Join(s.Programs, "celerysidecar"), dir: s.Dir}
+}
+
+// boot starts the node and the upstream of a host.
+func (h *host) boot(ctx context.Context, s *soak, isCold bool) (err error) {
+	if err := h.prepare(s.storeAt); err != nil {
+		return err
+	}
+	if err := h.start(); err != nil {
+		return err
+	}
+	h.up, err = startUpstream(ctx, h, s.checker, isCold)
+	return err
+}
+
 func zoneName(i int) string { return fmt.Sprint("zone-", i) }
 
 func (h *host) ready() bool {
@@ -199,6 +216,10 @@
 		s.harmStore(ctx, t, configlog.Faults{Delay: 300 * time.Millisecond})
 	case StoreLoses:
 		s.harmStore(ctx, t, configlog.Faults{LoseEvery: 3})
+	case StoreForgets:
+		s.harmStore(ctx, t, configlog.Faults{Retain: 1})
+	case GoodVersion, BadVersion:
+		s.rollout(ctx, t)
 	case KillAll:
 		s.killAll(ctx)
 	case RollTerminate:
@@ -234,6 +255,14 @@
 		s.harm(ctx, t, h, h.store, Silent, Store)
 	case StoreOneWay:
 		s.harm(ctx, t, h, h.store, CutIn, Store)
+	case PeersReset:
+		s.harm(ctx, t, h, h.peers, Reset, Unplanned)
+	case PeersSilent:
+		s.harm(ctx, t, h, h.peers, Silent, Unplanned)
+	case PeersSlow:
+		s.harm(ctx, t, h, h.peers, Slow, Unplanned)
+	case PeersOneWay:
+		s.harm(ctx, t, h, h.peers, CutIn, Unplanned)
 	case CallersReset:
 		s.harm(ctx, t, h, h.callers, Reset, Unplanned)
 	case CallersSlow:
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -24,6 +24,9 @@
 	leastWork   = 5 * time.Millisecond
 	workSpread  = 40 * time.Millisecond
 	answerBytes = 700
+	// firstVersion is what all upstreams run at first; of a bad version one request in so many fails.
+	firstVersion = "v0"
+	badOneIn     = 2
 	// drainFor is how long an upstream serves on after its leaving is acknowledged.
 	drainFor = drainWithin + 500*time.Millisecond
 	// ackWait bounds the wait for that acknowledgement.
@@ -35,6 +38,8 @@
 	host     *host
 	checker  *Checker
 	instance string
+	version  string
+	bad      bool
 	born     time.Time
 	warm     time.Time
 	server   *http.Server
@@ -53,7 +58,7 @@
 		return nil, err
 	}
 	h.starts++
-	u := &upstream{host: h, checker: checker, instance: fmt.Sprintf("i-%s-%d", h.name, h.starts), born: time.Now()}
+	u := &upstream{host: h, checker: checker, instance: fmt.Sprintf("i-%s-%d", h.name, h.starts), version: h.version, bad: h.bad, born: time.Now()}
 	if isCold {
 		u.warm = u.born.Add(coldFor)
 		checker.Cold(u.instance, u.warm)
@@ -98,7 +103,7 @@
 		return
 	}
 	defer u.running.Add(-1)
-	u.checker.Ran(Run{ID: call.ID, Instance: u.instance, Host: u.host.name, Service: u.host.service, Zone: u.host.zone})
+	u.checker.Ran(Run{ID: call.ID, Instance: u.instance, Host: u.host.name, Service: u.host.service, Zone: u.host.zone, Version: u.version})
 	work := time.NewTimer(leastWork + rand.N(workSpread))
 	defer work.Stop()
 	select {
@@ -106,6 +111,10 @@
 	case <-r.Context().Done():
 		return
 	}
+	if u.bad && rand.N(badOneIn) == 0 {
+		counterpart.WriteAnswer(w, call.ID, http.StatusInternalServerError, body(call.ID))
+		return
+	}
 	counterpart.WriteAnswer(w, call.ID, http.StatusOK, body(call.ID))
 }
 
@@ -127,7 +136,7 @@
 	defer cancel()
 	u.mu.Lock()
 	u.sequence++
-	a := counterpart.Announcement{Instance: u.instance, Service: u.host.service, Address: u.host.at(upstreamProxyPort), Zone: u.host.zone, Version: "v1",
+	a := counterpart.Announcement{Instance: u.instance, Service: u.host.service, Address: u.host.at(upstreamProxyPort), Zone: u.host.zone, Version: u.version,
 		Slots: slots, Draining: u.draining.Load(), Cold: time.Until(u.warm), Sequence: u.sequence, Born: u.born.UnixMilli()}
 	u.mu.Unlock()
 	err := counterpart.Announce(ctx, u.host.at(counterpart.ControlPort), a)
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -8,9 +8,11 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"maps"
 	"net"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,7 +35,7 @@
 //	POST /control          body: configlog.Faults as JSON
 //	GET  /control/stats    answer: configlog.Stats
 func Serve(ctx context.Context, l net.Listener, log *configlog.Memory) error {
-	s := server{ctx, log}
+	s := &server{ctx: ctx, log: log, kept: map[string]*newest{}}
 	app := fiber.New(fiber.Config{BodyLimit: maxCallBytes})
 	app.Post("/api/log-append", s.append)
 	app.Get("/api/log-read", s.read)
@@ -43,6 +45,9 @@
 		if err := json.Unmarshal(c.Body(), &f); err != nil {
 			return c.Status(fiber.StatusBadRequest).SendString(err.Error())
 		}
+		if err := s.foldAll(f); err != nil {
+			return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error())
+		}
 		log.SetFaults(f)
 		return c.SendStatus(fiber.StatusNoContent)
 	})
@@ -55,6 +60,62 @@
 type server struct {
 	ctx context.Context
 	log *configlog.Memory
+
+	mu sync.Mutex
+	// kept has the newest records of keyed topics, which outlive the history.
+	kept map[string]*newest
+}
+
+// newest is the newest record of each key of a topic, up to a position.
+type newest struct {
+	byKey map[string]item
+	next  int64
+}
+
+// keyedPrefix begins the names of topics whose records have keys.
+const keyedPrefix = "keyed."
+
+// fold takes what is new in a keyed topic into the newest of each key.
+func (s *server) fold(topic string) (*newest, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.kept[topic]
+	if n == nil {
+		n = &newest{byKey: map[string]item{}, next: firstOffset}
+		s.kept[topic] = n
+	}
+	page, err := s.log.Read(s.ctx, topic, n.next, int(^uint(0)>>1), 0)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range page.Entries {
+		key, value, ok := splitKeyed(e.Data)
+		switch {
+		case !ok:
+		case len(value) == 0:
+			delete(n.byKey, key)
+		default:
+			n.byKey[key] = item{key, base64.StdEncoding.EncodeToString(value), e.Offset - firstOffset}
+		}
+	}
+	n.next = page.Next
+	return &newest{byKey: maps.Clone(n.byKey), next: n.next}, nil
+}
+
+// foldAll keeps the newest of all keyed topics before faults that drop history take effect.
+func (s *server) foldAll(f configlog.Faults) error {
+	if f.Retain == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	topics := slices.Collect(maps.Keys(s.kept))
+	s.mu.Unlock()
+	for _, t := range topics {
+		if _, err := s.fold(t); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // The log in memory counts from 1, the store's offsets from 0.
@@ -62,7 +123,7 @@
 
 func topic(c fiber.Ctx) string { return strings.Clone(c.Query("topic")) }
 
-func (s server) append(c fiber.Ctx) error {
+func (s *server) append(c fiber.Ctx) error {
 	var records [][]byte
 	for body := c.Body(); len(body) > 0; {
 		if len(body) < frameBytes || len(body)-frameBytes < int(binary.BigEndian.Uint32(body)) {
@@ -75,7 +136,11 @@
 	if c.Query("at") != "" {
 		at = fiber.Query[int64](c, "at") + firstOffset
 	}
-	offset, err := s.log.AppendAll(s.ctx, topic(c), at, records...)
+	name := topic(c)
+	offset, err := s.log.AppendAll(s.ctx, name, at, records...)
+	if strings.HasPrefix(name, keyedPrefix) {
+		_, _ = s.fold(name) // an outage that began just now: the next call folds
+	}
 	switch {
 	case errors.Is(err, configlog.ErrOtherEnd):
 		return c.Status(fiber.StatusPreconditionFailed).JSON(fiber.Map{"end": offset - firstOffset})
@@ -85,7 +150,7 @@
 	return c.JSON(fiber.Map{"offset": offset - firstOffset, "end": offset - firstOffset + int64(len(records))})
 }
 
-func (s server) read(c fiber.Ctx) error {
+func (s *server) read(c fiber.Ctx) error {
 	from := fiber.Query[int64](c, "from", 0) + firstOffset
 	wait := min(time.Duration(fiber.Query[int](c, "wait_ms", 0))*time.Millisecond, maxWait)
 	page, err := s.log.Read(s.ctx, topic(c), from, readLimit, wait)
@@ -111,31 +176,20 @@
 	Offset int64  `json:"offset"`
 }
 
-func (s server) newest(c fiber.Ctx) error {
-	page, err := s.log.Read(s.ctx, topic(c), firstOffset, int(^uint(0)>>1), 0)
+func (s *server) newest(c fiber.Ctx) error {
+	n, err := s.fold(topic(c))
 	if err != nil {
 		return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error())
 	}
-	byKey := map[string]item{}
-	for _, e := range page.Entries {
-		key, value, ok := splitKeyed(e.Data)
-		switch {
-		case !ok:
-		case len(value) == 0:
-			delete(byKey, key)
-		default:
-			byKey[key] = item{key, base64.StdEncoding.EncodeToString(value), e.Offset - firstOffset}
-		}
-	}
-	items := make([]item, 0, len(byKey))
-	for _, i := range byKey {
+	items := make([]item, 0, len(n.byKey))
+	for _, i := range n.byKey {
 		if i.Key > c.Query("after") {
 			items = append(items, i)
 		}
 	}
 	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
 	more := len(items) > pageLimit
-	return c.JSON(fiber.Map{"items": items[:min(len(items), pageLimit)], "has_more": more, "end": page.Next - firstOffset})
+	return c.JSON(fiber.Map{"items": items[:min(len(items), pageLimit)], "has_more": more, "end": n.next - firstOffset})
 }
 
 // splitKeyed splits a record of a keyed topic: the length of the key, the key, the value.
