Find peers by a keyed list that outlives the store's history

Cause: a node that starts appended itself to a plain topic and read that topic; the store drops its history after keep_s. On a fleet in which nothing started for that long a newcomer read an empty list and stayed alone for good. Change: the list is a keyed topic with 448 places (the store answers with 500 records at once), a node's own place by the hash of its address. Calls for a start stay two. Ruled out: renewing entries (calls for ever), a key for each host (never shrinks).

--- a/internal/configlog/memory.go
+++ b/internal/configlog/memory.go
@@ -33,7 +33,7 @@
 	Delay time.Duration `json:"delay_ns"`
 	// LoseEvery makes each n-th append lose its answer after it took effect; 0 never.
 	LoseEvery int `json:"lose_every"`
-	// Retain keeps that many records of each stream; 0 keeps all.
+	// Retain keeps that many records of each stream; 0 keeps all, a negative number none.
 	Retain int `json:"retain"`
 }
 
@@ -96,7 +96,7 @@
 }
 
 func (m *Memory) trim(s *memoryStream) {
-	if n := len(s.entries) - m.faults.Retain; m.faults.Retain > 0 && n > 0 {
+	if n := len(s.entries) - max(m.faults.Retain, 0); m.faults.Retain != 0 && n > 0 {
 		s.first += int64(n)
 		s.entries = append([]Entry(nil), s.entries[n:]...)
 	}
--- a/internal/sidecar/hosts.go
+++ b/internal/sidecar/hosts.go
@@ -2,22 +2,32 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"celerybank/internal/duration"
 	"celerybank/internal/events"
 	"celerybank/internal/gossip"
 )
 
-// Hosts is the list of nodes that have started lately, in the platform's store.
+// Hosts is a list of nodes in the platform's store, which keeps the newest node of each place for good.
 type Hosts interface {
-	Add(ctx context.Context, addr string) error
-	// List returns the addresses from a position on, and the position after them.
-	List(ctx context.Context, from int64) (addrs []string, next int64, err error)
+	Put(ctx context.Context, place, addr string) error
+	// List returns the addresses, those written last at the end.
+	List(ctx context.Context) ([]string, error)
 }
 
+// places bounds the list of hosts: the store answers with at most 500 records at once. A node that
+// loses its place to another is found through the members, or by its own next read while it is alone.
+const places = 448
+
+// placeOf is the place of a node, the same after each start.
+func placeOf(addr string) string { return fmt.Sprintf("%03d", xxhash.Sum64String(addr)%places) }
+
 // membership is what the search for peers needs of the members.
 type membership interface {
 	Alive() []gossip.Member
@@ -48,14 +58,14 @@
 	members membership
 	events  *events.Recorder
 
-	known []string
-	next  int64
+	known  []string
+	listed bool
 }
 
 // Run adds this node to the list of hosts and joins those that it does not know, until ctx ends.
 func (d *discovery) Run(ctx context.Context) error {
 	start := time.Now()
-	for pause := retryMin; ctx.Err() == nil && d.hosts.Add(ctx, d.self) != nil; pause = min(2*pause, retryMax) {
+	for pause := retryMin; ctx.Err() == nil && d.hosts.Put(ctx, placeOf(d.self), d.self) != nil; pause = min(2*pause, retryMax) {
 		duration.Sleep(ctx, pause/2+rand.N(pause))
 	}
 	for i := 0; ctx.Err() == nil; i++ {
@@ -64,7 +74,7 @@
 			wait = time.Until(start.Add(joinTimes[i]))
 		}
 		duration.Sleep(ctx, wait)
-		for d.next == 0 || d.alone() {
+		for !d.listed || d.alone() {
 			if d.list(ctx) {
 				break
 			}
@@ -81,19 +91,15 @@
 
 func (d *discovery) alone() bool { return len(d.members.Alive()) <= 1 }
 
-// list reads what is new in the list; it reports whether the store answered.
+// list reads the list; it reports whether the store answered.
 func (d *discovery) list(ctx context.Context) bool {
-	addrs, next, err := d.hosts.List(ctx, d.next)
+	addrs, err := d.hosts.List(ctx)
 	if err != nil {
 		return false
 	}
-	d.next = next
-	for _, a := range addrs {
-		if a != d.self && !slices.Contains(d.known, a) {
-			d.known = append(d.known, a)
-		}
-	}
-	d.events.Emit(events.HostsListed, events.Fields{"new": len(addrs), "known": len(d.known), "position": next})
+	d.listed = true
+	d.known = slices.DeleteFunc(addrs, func(a string) bool { return a == d.self })
+	d.events.Emit(events.HostsListed, events.Fields{"known": len(d.known)})
 	d.members.SetSeeds(slices.Clone(d.known))
 	return true
 }
--- a/internal/sidecar/hosts_test.go
+++ b/internal/sidecar/hosts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,31 +16,39 @@
 
 // hostList is the list in the store, and counts its calls.
 type hostList struct {
-	mu    sync.Mutex
-	addrs []string
-	calls int
-	away  bool
+	mu     sync.Mutex
+	places map[string]string
+	order  []string // places, the one written last at the end
+	calls  int
+	away   bool
 }
 
-func (l *hostList) Add(_ context.Context, addr string) error {
+func (l *hostList) Put(_ context.Context, place, addr string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
 	if l.away {
 		return errors.New("away")
 	}
-	l.addrs = append(l.addrs, addr)
+	if l.places == nil {
+		l.places = map[string]string{}
+	}
+	l.places[place] = addr
+	l.order = append(slices.DeleteFunc(l.order, func(p string) bool { return p == place }), place)
 	return nil
 }
 
-func (l *hostList) List(_ context.Context, from int64) ([]string, int64, error) {
+func (l *hostList) List(context.Context) (addrs []string, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
 	if l.away {
-		return nil, from, errors.New("away")
+		return nil, errors.New("away")
+	}
+	for _, p := range l.order {
+		addrs = append(addrs, l.places[p])
 	}
-	return append([]string(nil), l.addrs[from:]...), int64(len(l.addrs)), nil
+	return addrs, nil
 }
 
 // crowd is nodes of which two that join have the members of both.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -285,6 +286,23 @@
 	}
 }
 
+// A newcomer finds the others long after they started, when the store has dropped its history.
+func TestNewcomerFindsPeersWithoutHistory(t *testing.T) {
+	m := startMesh(t, "a", "b")
+	for _, h := range m.hosts {
+		eventually(t, "all nodes are known", func() bool { return h.node.living() == len(m.hosts) })
+	}
+	m.log.SetFaults(configlog.Faults{Retain: -1})
+	m.log.SetFaults(configlog.Faults{})
+	last := m.hosts[len(m.hosts)-1].ip
+	n, err := strconv.Atoi(last[strings.LastIndexByte(last, '.')+1:])
+	if err != nil {
+		t.Fatal(err)
+	}
+	newcomer := m.start(fmt.Sprint(last[:strings.LastIndexByte(last, '.')+1], n+1), "a")
+	eventually(t, "the newcomer knows all", func() bool { return newcomer.node.living() == len(m.hosts)+1 })
+}
+
 // Settings that change while the node runs: a faulty file changes nothing, a good one the store's address.
 func TestReload(t *testing.T) {
 	m := startMesh(t, "a")
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -217,7 +217,7 @@
 	case StoreLoses:
 		s.harmStore(ctx, t, configlog.Faults{LoseEvery: 3})
 	case StoreForgets:
-		s.harmStore(ctx, t, configlog.Faults{Retain: 1})
+		s.harmStore(ctx, t, configlog.Faults{Retain: -1})
 	case GoodVersion, BadVersion:
 		s.rollout(ctx, t)
 	case KillAll:
