--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -149,6 +149,8 @@
 	mu sync.Mutex
 	// pipelines is set once a request came while another was pending.
 	pipelines bool
+	// unanswered counts requests whose answer has not begun to go out.
+	unanswered int
 	// pending counts requests that were read and whose answer is not written.
 	pending int
 	// closing is set once an answer that closes the connection is chosen: nothing that comes
@@ -262,7 +264,8 @@
 	if c.closing || c.server.draining.Load() {
 		return false
 	}
-	c.pipelines = c.pipelines || c.pending > 0
+	c.pipelines = c.pipelines || c.unanswered > 0
+	c.unanswered++
 	c.pending++
 	c.server.inflight.Add(1)
 	return true
@@ -324,6 +327,7 @@
 func (c *conn) finish(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.unanswered--
 	last := x.last || (c.server.draining.Load() && c.pending == 1)
 	c.closing = c.closing || last
 	return last
