--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -132,6 +132,7 @@
 	r := bufio.NewReader(c)
 	for range 3 {
 		send(t, c, get("/1"))
+		wait(t, h.began, "/1")
 		receive(t, r)
 	}
 	if h.pipelined.Load() {
@@ -139,6 +140,7 @@
 	}
 	send(t, c, get("/held")+get("/2"))
 	<-h.began
+	<-h.began // both run, in any order
 	h.letGo("/held")
 	receive(t, r)
 	receive(t, r)
