Soak with 150 nodes; a run that serves next to nothing is broken

Cause: the first run with 150 nodes served 181 of 16,888 requests and named no promise. A proxy before each host's peers costs two files for each other host, so the soak ran out of files (20,000), and the checker had no promise on a run as a whole. Change: proxies between nodes stand before the first 16 hosts; a run that serves under a quarter of its requests is broken (TestCheckerCatchesEachBrokenPromise).

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -26,7 +26,8 @@
 	// badShare and badSlack bound the requests to a bad version among those to its service.
 	badShare = 0.1
 	badSlack = 50
-	// recoveredShare is the part of the requests that must be served after a loss, of leastRequests or more.
+	// recoveredShare is the part of the requests that must be served after a loss, and over a whole run,
+	// of leastRequests or more.
 	recoveredShare = 0.25
 	leastRequests  = 20
 	// lostAllowed is how many requests from kept connections may be lost at undisturbed hosts.
@@ -48,6 +49,7 @@
 	PlannedStops Promise = "a planned stop cuts no request"
 	KeptRequests Promise = "requests of kept connections are answered"
 	BadVersions  Promise = "a bad version gets a small share and is taken back"
+	Serves       Promise = "requests are served"
 	Recovers     Promise = "service is back after a loss"
 )
 
@@ -397,6 +399,9 @@
 	for _, at := range c.losses {
 		c.checkRecovery(at.Add(recoverWithin))
 	}
+	if n.Requests >= leastRequests && float64(n.Served) < recoveredShare*float64(n.Requests) {
+		c.broken(Serves, time.Now(), "%d of %d requests of the whole run were served", n.Served, n.Requests)
+	}
 	return c.violations, n
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -54,6 +54,7 @@
 				id := fmt.Sprint("r", i)
 				c.Sent(id, "h1", "/p/", true)
 				run(c, id)
+				c.Answered(id, Reply{Status: 200, Own: true})
 				if !breaks {
 					time.Sleep(time.Second / coldPerS)
 				}
@@ -96,6 +97,17 @@
 					version = "v2"
 				}
 				c.Ran(Run{ID: id, Instance: "i-1", Host: "h1", Service: "stock", Zone: "a", Version: version})
+				c.Answered(id, Reply{Status: 200, Own: true})
+			}
+		},
+		Serves: func(c *Checker, breaks bool) {
+			defer c.Disturb(Unplanned, "")() // whatever happens, a whole run serves something
+			for i := range leastRequests {
+				id := fmt.Sprint("r", i)
+				c.Sent(id, "h1", "/p/", true)
+				if !breaks || i == 0 {
+					c.Answered(id, Reply{Status: 200, Own: true})
+				}
 			}
 		},
 		Recovers: func(c *Checker, breaks bool) {
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -25,8 +25,10 @@
 type host struct {
 	name, ip, zone, service string
 	// version is that of the upstream's software; bad ones fail a part of their requests.
-	version      string
-	bad          bool
+	version string
+	bad     bool
+	// peersProxied hosts are reached by their peers through a proxy.
+	peersProxied bool
 	program, dir string
 
 	callers, upstreams, store, peers *proxy
@@ -43,12 +45,17 @@
 
 // prepare opens the proxies and writes the settings file.
 func (h *host) prepare(store string) error {
-	for _, p := range []struct {
+	type place struct {
 		to     **proxy
 		at     int
 		target string
-	}{{&h.callers, callersProxyPort, h.at(counterpart.CallersPort)}, {&h.upstreams, upstreamProxyPort, h.at(counterpart.UpstreamPort)},
-		{&h.store, storeProxyPort, store}, {&h.peers, counterpart.PeersPort, h.at(peersBehindProxyPort)}} {
+	}
+	places := []place{{&h.callers, callersProxyPort, h.at(counterpart.CallersPort)}, {&h.upstreams, upstreamProxyPort, h.at(counterpart.UpstreamPort)},
+		{&h.store, storeProxyPort, store}}
+	if h.peersProxied {
+		places = append(places, place{&h.peers, counterpart.PeersPort, h.at(peersBehindProxyPort)})
+	}
+	for _, p := range places {
 		x, err := newProxy(h.at(p.at), p.target)
 		if err != nil {
 			return err
@@ -63,7 +70,11 @@
 
 // start runs the node.
 func (h *host) start() error {
-	p, err := startProcess(filepath.Join(h.dir, h.name+".log"), h.program, "--settings", h.settings(), "--bind-peers", h.at(peersBehindProxyPort))
+	args := []string{"--settings", h.settings()}
+	if h.peersProxied {
+		args = append(args, "--bind-peers", h.at(peersBehindProxyPort))
+	}
+	p, err := startProcess(filepath.Join(h.dir, h.name+".log"), h.program, args...)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -56,6 +56,9 @@
 	// operatorRetry is the pause of an operator whom the store does not answer.
 	operatorRetry = 100 * time.Millisecond
 	storePort     = 7700
+	// peersProxied is how many hosts have a proxy before their peers: each of them costs two open
+	// files for each other host.
+	peersProxied = 16
 )
 
 var services = []string{"stock", "orders"}
@@ -127,6 +130,7 @@
 	s.base = base
 	for i := range s.Hosts {
 		h := s.newHost(fmt.Sprint("h", i), 10+i, i%zones, services[i/zones%len(services)])
+		h.peersProxied = i < peersProxied
 		s.hosts = append(s.hosts, h)
 		if err := h.boot(ctx, s, false); err != nil {
 			return err
@@ -283,6 +287,9 @@
 
 // harm lets a proxy do harm for the time of a trouble.
 func (s *soak) harm(ctx context.Context, t Trouble, h *host, p *proxy, what Harm, d Disturbance) {
+	if p == nil {
+		return // no proxy stands there
+	}
 	end := s.checker.Disturb(d, h.name)
 	p.set(what)
 	duration.Sleep(ctx, t.For) // the harm ends in any case
