--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -59,8 +59,6 @@
 	maxShuns  = 4
 	// maxSpeed bounds the speed factor that one answer can show.
 	maxSpeed = 12
-	// thousand is the unit of what owners report.
-	thousand = 1000
 )
 
 // NewEndpoint returns an endpoint of which nothing is known but its announcement.
@@ -95,7 +93,7 @@
 	if l.Speed <= 0 {
 		return false
 	}
-	e.speed, e.errors, e.learnt = float64(l.Speed)/thousand, float64(l.Failures)/thousand, now
+	e.speed, e.errors, e.learnt = float64(l.Speed)/proxy.Thousand, float64(l.Failures)/proxy.Thousand, now
 	return true
 }
 
--- a/internal/delivery/gate_test.go
+++ b/internal/delivery/gate_test.go
@@ -135,7 +135,7 @@
 const stall = time.Second / 6
 
 // lastStep is how late the one request may be that was counted when its host stood still: a core's
-// allotment is given anew each tenth of a second.
+// quota is given anew each tenth of a second.
 const lastStep = time.Second / 10
 
 // busiestSecond returns the most of times, in order, that lie within one second.
--- a/internal/delivery/quality.go
+++ b/internal/delivery/quality.go
@@ -20,7 +20,6 @@
 	qualityFade = 4 * time.Second
 	// maxSpeed bounds the factor that one answer can show.
 	maxSpeed = 12
-	thousand = 1000
 )
 
 // quality is how one upstream process works, as its owner sees it: it sees every request, where an
@@ -71,5 +70,5 @@
 		return
 	}
 	q.fadeTo(now)
-	l.Speed, l.Failures = max(1, int(q.speed*thousand+0.5)), int(q.failures*thousand+0.5)
+	l.Speed, l.Failures = max(1, int(q.speed*proxy.Thousand+0.5)), int(q.failures*proxy.Thousand+0.5)
 }
--- a/internal/delivery/quality_test.go
+++ b/internal/delivery/quality_test.go
@@ -32,15 +32,15 @@
 		q := new(quality)
 		answers(q, 100, c.speed, c.failing)
 		got := report(q)
-		if s := float64(got.Speed) / thousand; s < 0.75*c.speed || s > 1.25*c.speed {
+		if s := float64(got.Speed) / proxy.Thousand; s < 0.75*c.speed || s > 1.25*c.speed {
 			t.Errorf("speed %v, told %v", c.speed, s)
 		}
-		if f := float64(got.Failures) / thousand; f < c.failing-0.25 || f > c.failing+0.25 || (c.failing == 0 && f > 0) {
+		if f := float64(got.Failures) / proxy.Thousand; f < c.failing-0.25 || f > c.failing+0.25 || (c.failing == 0 && f > 0) {
 			t.Errorf("failing %v, told %v", c.failing, f)
 		}
 		now = now.Add(4 * qualityFade) // nobody sends there
 		answers(q, leastAnswers, 1, 0)
-		if got = report(q); float64(got.Speed) > 1.6*thousand || float64(got.Failures) > 0.1*thousand {
+		if got = report(q); float64(got.Speed) > 1.6*proxy.Thousand || float64(got.Failures) > 0.1*proxy.Thousand {
 			t.Errorf("after a while: %+v", got)
 		}
 	}
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -124,6 +124,9 @@
 	Held time.Duration `msgpack:"e,omitempty"`
 }
 
+// Thousand is the unit of the ratios in a Load.
+const Thousand = 1000
+
 // Load is what an owner says of its upstream with each answer.
 type Load struct {
 	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 the codec reads the tag
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -209,45 +209,6 @@
 	}
 }
 
-// move is one to a bad version, and the requests that ran meanwhile.
-type move struct {
-	service, version string
-	all, bad         int
-}
-
-// BadVersion takes in that the operator orders a move to a bad version; call the result with
-// whether the system says that it is completed, once it says how it ended.
-func (c *Checker) BadVersion(service, version string) (ended func(completed bool)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	m := &move{service: service, version: version}
-	c.move = m
-	return func(completed bool) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.move = nil
-		if completed {
-			c.broken(BadVersions, time.Now(), "%s of %s is completed", version, service)
-		}
-	}
-}
-
-// checkVersion counts the requests of a move to a bad version.
-func (c *Checker) checkVersion(r Run, now time.Time) {
-	m := c.move
-	if m == nil || m.service != r.Service {
-		return
-	}
-	m.all++
-	if m.version != r.Version {
-		return
-	}
-	m.bad++
-	if allowed := badShare*float64(m.all) + badSlack; float64(m.bad) > allowed && float64(m.bad) <= allowed+1 {
-		c.broken(BadVersions, now, "%s of %s got %d of %d requests", m.version, m.service, m.bad, m.all)
-	}
-}
-
 // Reply is how an attempt ended for its caller.
 type Reply struct {
 	Status int
@@ -378,46 +339,3 @@
 func touched(list []span, host string, from, to time.Time) bool {
 	return slices.ContainsFunc(list, func(s span) bool { return s.touches(host, from, to) })
 }
-
-// Counts is what a run did.
-type Counts struct{ Requests, Served, Refused int }
-
-// Finish ends the run and returns what was broken.
-func (c *Checker) Finish() ([]Violation, Counts) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var n Counts
-	for _, q := range c.requests {
-		n.Requests++
-		if q.served {
-			n.Served++
-		}
-		if q.refused {
-			n.Refused++
-		}
-	}
-	for _, at := range c.losses {
-		c.checkRecovery(at.Add(recoverWithin))
-	}
-	if n.Requests >= leastRequests && float64(n.Served) < recoveredShare*float64(n.Requests) {
-		c.broken(Serves, time.Now(), "%d of %d requests of the whole run were served", n.Served, n.Requests)
-	}
-	return c.violations, n
-}
-
-// checkRecovery looks at the requests sent from a moment on, for as long as nothing else disturbs the hosts.
-func (c *Checker) checkRecovery(from time.Time) {
-	sent, served := 0, 0
-	for _, q := range c.requests {
-		if q.sent.Before(from) || touched(c.unplanned, "", from.Add(-recoverWithin+time.Millisecond), q.sent) {
-			continue
-		}
-		sent++
-		if q.served {
-			served++
-		}
-	}
-	if sent >= leastRequests && float64(served) < recoveredShare*float64(sent) {
-		c.broken(Recovers, from, "%d of %d requests were served", served, sent)
-	}
-}
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -40,11 +40,11 @@
 		}
 	}
 	for _, r := range [][]byte{record("a", "1"), record("b", "1"), record("c", "1"), record("b", "")} {
-		post("/api/log-append?part=0&topic=keyed.op", r)
+		post("/api/log-append?part=0&topic=keyed.test", r)
 	}
 	post("/control", []byte(`{"retain":1}`))
-	post("/api/log-append?part=0&topic=keyed.op", record("c", "2"))
-	resp, err := http.Get("http://" + l.Addr().String() + "/api/log-newest?part=0&topic=keyed.op")
+	post("/api/log-append?part=0&topic=keyed.test", record("c", "2"))
+	resp, err := http.Get("http://" + l.Addr().String() + "/api/log-newest?part=0&topic=keyed.test")
 	if err != nil {
 		t.Fatal(err)
 	}
