Hold a new version at its first share while the old one fails too

A service that both versions call shed half; three of four requests failed at either, so the fault, which showed at the first share, was not told apart, and the whole share followed. Change: while the old version fails over a fifth of its latest requests no step up is taken until time presses.

--- a/internal/canary/assess.go
+++ b/internal/canary/assess.go
@@ -31,6 +31,15 @@
 	return n
 }
 
+// failing is the part of the latest requests that failed.
+func (t tally) failing() float64 {
+	var c Counts
+	for _, e := range t {
+		c.add(e.Recent)
+	}
+	return c.failedPart()
+}
+
 // Bounds of the verdict on a version. A bad one fails a third of a route's requests or more,
 // or takes several times as long.
 const (
@@ -171,6 +180,9 @@
 		return late(at, part, held, next, "no upstream of the version")
 	}
 	s := steps[at]
+	if at == 0 && old.failing() > blindPart {
+		return late(at, part, held, next, "the old version fails too")
+	}
 	if part < s.until || held < minHeld || next.answered() < bound.answers(at) {
 		return late(at, part, held, next, fmt.Sprintf("%d answers at share %.2f", next.answered(), s.share))
 	}
@@ -180,6 +192,10 @@
 	return decision{step: at + 1}
 }
 
+// blindPart is the part of the old version's requests whose failure hides a fault of the new one:
+// while a service behind both fails so much, a version waits at its first share.
+const blindPart = 0.2
+
 // minHeld is the least time at a step: news of it reaches every node, and answers come back.
 const minHeld = 700 * time.Millisecond
 
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -16,20 +16,29 @@
 type version struct {
 	fails func(i int, share float64, since time.Duration) bool
 	slow  float64
+	// both says whether request number i fails at either version, as by a service that both call.
+	both func(i int, since time.Duration) bool
 	// good versions have to be done in time, others taken back.
 	good bool
 }
 
 var versions = map[string]version{
-	"good":                     {good: true},
-	"good, with few errors":    {good: true, fails: func(i int, _ float64, _ time.Duration) bool { return i%200 == 7 }},
-	"fails a third":            {fails: func(i int, _ float64, _ time.Duration) bool { return i%3 == 0 }},
-	"fails after 3.4 s":        {fails: func(i int, _ float64, since time.Duration) bool { return since > 3400*time.Millisecond && i%2 == 0 }},
-	"fails under load":         {fails: func(i int, share float64, _ time.Duration) bool { return share > 0.5 && i%3 == 0 }},
-	"fails a fifth under load": {fails: func(i int, share float64, _ time.Duration) bool { return share > 0.9 && i%5 == 0 }},
-	"eight times slower":       {slow: 8},
+	"good":                                  {good: true},
+	"good, with few errors":                 {good: true, fails: func(i int, _ float64, _ time.Duration) bool { return i%200 == 7 }},
+	"fails a third":                         {fails: func(i int, _ float64, _ time.Duration) bool { return i%3 == 0 }},
+	"fails after 3.4 s":                     {fails: func(i int, _ float64, since time.Duration) bool { return since > 3400*time.Millisecond && i%2 == 0 }},
+	"fails under load":                      {fails: func(i int, share float64, _ time.Duration) bool { return share > 0.5 && i%3 == 0 }},
+	"fails a fifth under load":              {fails: func(i int, share float64, _ time.Duration) bool { return share > 0.9 && i%5 == 0 }},
+	"eight times slower":                    {slow: 8},
+	"good, while a service behind it fails": {good: true, both: threeInFour},
+	"fails after 3.4 s, while a service behind it fails": {both: threeInFour,
+		fails: func(i int, _ float64, since time.Duration) bool { return since > 3400*time.Millisecond && i%2 == 0 }},
 }
 
+// threeInFour requests fail in the first seven seconds, as on iblee-mesh scale-1, where each
+// stock-check needs answers of a service that sheds half.
+func threeInFour(i int, since time.Duration) bool { return since < 7*time.Second && i%4 != 1 }
+
 // rollout plays a rollout of a service with rate requests a second against the judge's rule,
 // and returns what the new version got and how it ended.
 func play(bound Bound, v version, rate float64, duration time.Duration) (got int, outcome orders.Outcome) {
@@ -70,11 +79,11 @@
 				carry--
 				got++
 				work := max(v.slow, 1) * 100
-				failed := v.fails != nil && v.fails(got, share, now)
+				failed := (v.fails != nil && v.fails(got, share, now)) || (v.both != nil && v.both(got, now))
 				next = append(next, sample{now + time.Duration(work)*time.Millisecond, failed, uint64(work)})
 				continue
 			}
-			old = append(old, sample{now + 100*time.Millisecond, len(old)%500 == 3, 100})
+			old = append(old, sample{now + 100*time.Millisecond, len(old)%500 == 3 || (v.both != nil && v.both(len(old), now)), 100})
 		}
 		o, nt := tally{}, tally{}
 		o.add(RouteEvidence{Route: "r", Recent: sums(old, now, recentSpan), All: sums(old, now, duration)})
