Admit nothing at an upstream before the configuration is known

Hosts and store had lost power two seconds before. An owner without a configuration does not know the rate, so it passed on unpaced and uncounted what entries with a configuration sent. Change: the gate stays closed until a configuration is known; entries look elsewhere for a moment.

--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -165,11 +165,15 @@
 	if o.leaving {
 		return
 	}
+	t := o.Table()
+	if t == nil {
+		// Without a configuration nobody knows what a cold upstream bears; others may have one and send.
+		o.Gate.Close(proxy.ReasonNotReady)
+		return
+	}
 	rate := 0.0
-	if t := o.Table(); t != nil {
-		if s := t.Service(up.Service); s != nil {
-			rate = o.Cold.allowed(s.ColdPerSecond)
-		}
+	if s := t.Service(up.Service); s != nil {
+		rate = o.Cold.allowed(s.ColdPerSecond)
 	}
 	until := up.ColdUntil
 	if o.doubtUntil.After(until) {
--- a/internal/delivery/owner_test.go
+++ b/internal/delivery/owner_test.go
@@ -57,3 +57,23 @@
 		t.Errorf("%v %s, load %+v", a.Verdict, a.Reason, a.Load)
 	}
 }
+
+// Pattern: all hosts have lost power. A node that has no configuration yet is found by others that
+// have one; it admits nothing until it knows what its cold upstream bears.
+func TestOwnerWithoutConfigurationAdmitsNothing(t *testing.T) {
+	var table *routes.Table
+	o := New(t.Context(), Config{Gate: NewGate(), Wire: noWire{}, Table: func() *routes.Table { return table },
+		Barred: func(string) proxy.Reason { return proxy.ReasonNone }})
+	u := registry.Upstream{Announcement: registry.Announcement{Service: "stock", Instance: "i-1", Address: "127.0.0.1:9", Slots: 4, Cold: time.Minute},
+		ColdUntil: time.Now().Add(time.Minute)}
+	o.SetUpstream(u, true)
+	a := o.Handle(context.Background(), &proxy.Request{Service: "stock", Timeout: time.Second, Target: time.Second})
+	if a.Verdict != verdict.NotRun || a.Reason != proxy.ReasonNotReady {
+		t.Errorf("%v %s", a.Verdict, a.Reason)
+	}
+	table = routes.NewTable(&routes.Config{})
+	o.Refresh()
+	if l := o.Gate.Load(); l.Draining {
+		t.Error("closed though the configuration is known")
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -257,7 +257,7 @@
 			e.Answered(a.Took, usual, false, now)
 		}
 	case proxy.ReasonPeerLost, proxy.ReasonUnreachable, proxy.ReasonDown, proxy.ReasonCrashed, proxy.ReasonNoUpstream,
-		proxy.ReasonMoved, proxy.ReasonDraining, proxy.ReasonVetoed, proxy.ReasonZoneOut:
+		proxy.ReasonMoved, proxy.ReasonDraining, proxy.ReasonVetoed, proxy.ReasonZoneOut, proxy.ReasonNotReady:
 		d.Events.Emit(events.EndpointShunned, events.Fields{"request": r.RequestID, "instance": e.Instance, "addr": e.Addr,
 			"reason": a.Reason, "for_ms": e.Unreachable(now).Milliseconds()})
 		if a.Reason == proxy.ReasonPeerLost {
