--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -82,6 +82,8 @@
 	// assumeColdUntil is until when the upstream counts as cold because its zone is back in: it may be
 	// cold without having announced it.
 	assumeColdUntil time.Time
+	// coldReported is the end of the cold phase in the last event about it.
+	coldReported time.Time
 	// draining is set when this node stops, and never reset.
 	draining bool
 	up       atomic.Pointer[current]
@@ -123,7 +125,7 @@
 		next := &current{Upstream: u, client: old.client, quality: old.quality}
 		o.up.Store(next)
 		o.assumeColdUntil = time.Time{}
-		o.open(next)
+		o.open(next, coldAnnounced)
 	default:
 		next := &current{Upstream: u, quality: &quality{},
 			client: upstream.NewClient(u.Address, o.Dialer, o.connections(u.Service), maxResponseBytes, nil).SetDialect(o.Wire.Dialect()).SetBeforeSend(o.Gate.WaitToSend)}
@@ -132,7 +134,7 @@
 			old.client.CloseIdle()
 		}
 		o.assumeColdUntil = time.Time{}
-		o.open(next)
+		o.open(next, coldAnnounced)
 	}
 }
 
@@ -141,7 +143,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if up := o.up.Load(); up != nil && up.State == registry.Ready && !up.down.Load() {
-		o.open(up)
+		o.open(up, coldConfigured)
 	}
 }
 
@@ -151,7 +153,7 @@
 	defer o.mu.Unlock()
 	o.assumeColdUntil = time.Now().Add(assumeColdLimit)
 	if up := o.up.Load(); up != nil && up.State == registry.Ready {
-		o.open(up)
+		o.open(up, coldAssumed)
 	}
 }
 
@@ -166,8 +168,33 @@
 	o.Gate.Close(proxy.ReasonDraining)
 }
 
-// open opens the gate for an upstream that takes requests. o.mu is held.
-func (o *Owner) open(up *current) {
+// coldReason is the evidence from which an upstream counts as cold or warm.
+type coldReason string
+
+const (
+	coldAnnounced  coldReason = "announcement"
+	coldConfigured coldReason = "configuration"
+	coldAssumed    coldReason = "zone in again"
+	coldChecked    coldReason = "health check"
+)
+
+// coldReportStep is the change of the end of a cold phase from which it is reported again.
+const coldReportStep = time.Second
+
+// reportCold emits an event if the upstream has turned cold or warm or its cold phase ends at another time. o.mu is held.
+func (o *Owner) reportCold(up *current, until time.Time, rate float64, reason coldReason) {
+	now := time.Now()
+	left, known := max(0, until.Sub(now)), max(0, o.coldReported.Sub(now))
+	if (left > 0) == (known > 0) && (left-known).Abs() < coldReportStep {
+		return
+	}
+	o.coldReported = until
+	o.Events.Emit(events.ColdPhase, events.Fields{"instance": up.Instance, "sequence": up.Sequence, "born": up.Born, "cold_ms": left.Milliseconds(),
+		"rate": rate, "reason": reason})
+}
+
+// open opens the gate for an upstream that takes requests. reason is why it is opened now. o.mu is held.
+func (o *Owner) open(up *current, reason coldReason) {
 	if o.draining {
 		return
 	}
@@ -186,6 +213,7 @@
 	if o.assumeColdUntil.After(until) {
 		until = o.assumeColdUntil
 	}
+	o.reportCold(up, until, rate, reason)
 	o.Gate.Open(up.Slots, until, rate)
 }
 
--- a/internal/delivery/probe.go
+++ b/internal/delivery/probe.go
@@ -83,5 +83,5 @@
 	next.ColdUntil = time.Now().Add(h.Cold)
 	o.up.Store(next)
 	o.Events.Emit(events.UpstreamBack, events.Fields{"service": up.Service, "instance": up.Instance, "cold_ms": h.Cold.Milliseconds()})
-	o.open(next)
+	o.open(next, coldChecked)
 }
--- a/internal/events/sidecar.go
+++ b/internal/events/sidecar.go
@@ -7,6 +7,8 @@
 	OrderApplied       Code = 220
 	OrderWithdrawn     Code = 221
 	OrderRefused       Code = 222
+	ReaderChanged      Code = 223
+	ExchangeFailed     Code = 224
 	Reloaded           Code = 104
 	Woken              Code = 105
 	Strained           Code = 106
@@ -17,6 +19,7 @@
 	UpstreamBack       Code = 523
 	UpstreamHandedOver Code = 524
 	UpstreamInherited  Code = 525
+	ColdPhase          Code = 526
 	CallRefused        Code = 530
 	CallFailed         Code = 531
 	CallRetried        Code = 532
@@ -35,6 +38,8 @@
 	OrderApplied:       {"order-applied", logrus.InfoLevel, "An order of the operator took effect on this node; the field source says from where the node received it."},
 	OrderWithdrawn:     {"order-withdrawn", logrus.InfoLevel, "An order of the operator was withdrawn, for example because its availability zone is in again."},
 	OrderRefused:       {"order-refused", logrus.WarnLevel, "An order of the operator is invalid or older than the current one, and changes nothing; the field reason gives the cause."},
+	ReaderChanged:      {"reader-changed", logrus.InfoLevel, "This node started or stopped to read the orders from the store, as the field reads says. The field reason gives the cause, and age_ms the time since a reader was last known to be working."},
+	ExchangeFailed:     {"exchange-failed", logrus.InfoLevel, "A peer did not respond to an exchange of positions in the operator's topic; the field reason gives the error."},
 	Reloaded:           {"reloaded", logrus.InfoLevel, "The settings file was reloaded; the field cause says what triggered it."},
 	Woken:              {"woken", logrus.WarnLevel, "The process was suspended for slept_ms and has resumed; its state may be outdated, so it serves no requests for a moment and forgets its upstream until the next announcement."},
 	Strained:           {"strained", logrus.WarnLevel, "The process is CPU-starved: its timers run late, on average by late_ms. It reports itself not ready for new callers during for_ms."},
@@ -45,6 +50,7 @@
 	UpstreamBack:       {"upstream-back", logrus.InfoLevel, "The upstream on this host accepts connections again; the field cold_ms gives its remaining warm-up time."},
 	UpstreamHandedOver: {"upstream-handed-over", logrus.InfoLevel, "In a graceful stop, this node handed its upstream over to the next process on the host; it acknowledges no more announcements."},
 	UpstreamInherited:  {"upstream-inherited", logrus.InfoLevel, "The previous process on this host handed its upstream over; the field adopted says whether this node accepted it."},
+	ColdPhase:          {"cold-phase", logrus.InfoLevel, "The upstream on this host counts as cold for cold_ms from now on, or as warm if that is 0; while it is cold it gets at most rate requests per second. The field reason says what this follows from."},
 	CallRefused:        {"call-refused", logrus.InfoLevel, "A request was refused and did not run; the field reason gives the cause, and in_use and limit the load of the upstream if one was chosen."},
 	CallFailed:         {"call-failed", logrus.WarnLevel, "A request ended without a response from an upstream; the field verdict says whether it may have run."},
 	CallRetried:        {"call-retried", logrus.InfoLevel, "A request is retried on another upstream; the field reason says why the previous attempt failed."},
--- a/internal/orders/exchange.go
+++ b/internal/orders/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"celerybank/internal/duration"
+	"celerybank/internal/events"
 )
 
 // Update advertises the position up to which the sender has the records. It carries the new records
@@ -116,7 +117,8 @@
 // pull fetches the missing records from a peer.
 func (f *Follower) pull(ctx context.Context, addr string) {
 	var reply PullReply
-	if f.call(ctx, addr, "Pull", &PullRequest{Next: f.replica.View().Next, Age: f.readerAge()}, &reply) != nil {
+	if err := f.call(ctx, addr, "Pull", &PullRequest{Next: f.replica.View().Next, Age: f.readerAge()}, &reply); err != nil {
+		f.events.Emit(events.ExchangeFailed, events.Fields{"peer": addr, "reason": err.Error(), "position": f.replica.View().Next})
 		return // a later exchange compensates for a failed one
 	}
 	f.observeReader(time.Duration(reply.Age) * time.Millisecond)
--- a/internal/orders/follow.go
+++ b/internal/orders/follow.go
@@ -142,11 +142,35 @@
 	}
 }
 
+// readerRole says whether a node reads the topic, and why.
+type readerRole string
+
+const (
+	notReading   readerRole = "other nodes read"
+	zoneReader   readerRole = "reader of the zone"
+	noReaderSeen readerRole = "no reader is known to be working"
+)
+
+// role returns this node's current role.
+func (f *Follower) role() readerRole {
+	switch {
+	case f.IsReader():
+		return zoneReader
+	case f.readerAge() >= readerTimeout.Milliseconds():
+		return noReaderSeen
+	}
+	return notReading
+}
+
 // follow reads the topic while this node is a reader or no reader is known to be working.
 func (f *Follower) follow(ctx context.Context) {
-	delay := retryDelay
+	delay, role := retryDelay, notReading
 	for ctx.Err() == nil {
-		if !f.IsReader() && time.Now().UnixMilli()-f.readerSeen.Load() < readerTimeout.Milliseconds() {
+		if now := f.role(); now != role {
+			role = now
+			f.events.Emit(events.ReaderChanged, events.Fields{"reads": role != notReading, "reason": role, "age_ms": f.readerAge(), "position": f.replica.View().Next})
+		}
+		if role == notReading {
 			duration.Sleep(ctx, roleCheckInterval/2+rand.N(roleCheckInterval))
 			continue
 		}
