orders: replace readers that do not respond, and ask other zones in turn

What callers saw: a request that a host got 2.0 to 2.3 s after a configuration was acknowledged was handled as an older one says (CONFIG); two are allowed, and the host was not disturbed.

Cause: only the two highest ranked alive nodes of a zone read the store. When both lost power, the others knew within 0.9 s from their connections, but waited for the failure detector of all nodes, 3 s and more, before they read themselves. What was left were exchanges with random peers, one in three with another zone; those with the dead readers cost their timeout and were not repeated. Whether news came in time was chance.

Fix: a candidate contacts those ranked above it twice a second, and one that does not respond to it no longer counts as a reader, so that it reads the store itself at once. Every node contacts another zone once a second, not at random, and asks another peer when one does not respond. A long poll waits 2 s instead of 8, so that a store that fell silent is noticed before orders have to be in time again. Why this works: each host that can reach the store, or any zone that can, has two independent ways to the news, each bounded below the 2 s.

--- a/internal/orders/exchange.go
+++ b/internal/orders/exchange.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"celerybank/internal/duration"
 	"celerybank/internal/events"
 )
@@ -91,38 +94,79 @@
 	return sameZone, otherZones
 }
 
-// repair periodically compares positions with a random peer and pulls the missing records. While
-// the store is unreachable, the peer is always one of another zone, if there is one.
+// repair periodically compares positions with peers and pulls missing records. Each time a candidate
+// contacts the readers of its zone, and others a random node of it; every crossZonePeriod times, and
+// while the store is unreachable each time, a node of another zone is contacted as well.
 func (f *Follower) repair(ctx context.Context) {
-	for duration.Sleep(ctx, f.repairPause()) {
-		candidates, otherZones := f.peersByZone()
-		if len(candidates) == 0 || (len(otherZones) > 0 && (f.storeDown.Load() || rand.Float64() < crossZoneRatio)) {
-			candidates = otherZones
+	var exchanges conc.WaitGroup
+	defer exchanges.Wait()
+	for turn := rand.IntN(crossZonePeriod); duration.Sleep(ctx, f.repairPause()); turn++ {
+		sameZone, otherZones := f.peersByZone()
+		f.contacts.keep(sameZone, otherZones)
+		checked := f.readersToCheck()
+		for _, addr := range checked {
+			exchanges.Go(func() { f.pull(ctx, addr) })
+		}
+		if len(checked) == 0 {
+			exchanges.Go(func() { f.pullFromAny(ctx, sameZone) })
 		}
-		if len(candidates) > 0 {
-			f.pull(ctx, candidates[rand.IntN(len(candidates))])
+		if turn%crossZonePeriod == 0 || f.storeDown.Load() || len(sameZone) == 0 {
+			exchanges.Go(func() { f.pullFromAny(ctx, otherZones) })
 		}
 	}
 }
 
+// maxExchangeTries is the number of peers that one exchange tries until one responds.
+const maxExchangeTries = 3
+
+// pullFromAny exchanges with a random one of the peers, and with others if it does not respond. Peers that
+// did not respond before come last.
+func (f *Follower) pullFromAny(ctx context.Context, peers []string) {
+	peers = slices.Clone(peers)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	slices.SortStableFunc(peers, func(a, b string) int { return compareBool(f.contacts.failed(a), f.contacts.failed(b)) })
+	for _, addr := range peers[:min(maxExchangeTries, len(peers))] {
+		if f.pull(ctx, addr) || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // repairPause returns the randomized time until the next exchange.
 func (f *Follower) repairPause() time.Duration {
 	mean := repairInterval
 	if f.storeDown.Load() {
 		mean = storeDownRepairInterval
 	}
-	return mean/2 + rand.N(mean)
+	return mean*3/4 + rand.N(mean/2)
 }
 
-// pull fetches the missing records from a peer.
-func (f *Follower) pull(ctx context.Context, addr string) {
+// pull fetches the missing records from a peer and reports whether it responded.
+func (f *Follower) pull(ctx context.Context, addr string) bool {
 	var reply PullReply
-	if err := f.call(ctx, addr, "Pull", &PullRequest{Next: f.replica.View().Next, Age: f.readerAge()}, &reply); err != nil {
+	err := f.call(ctx, addr, "Pull", &PullRequest{Next: f.replica.View().Next, Age: f.readerAge()}, &reply)
+	if ctx.Err() != nil {
+		return false
+	}
+	f.contacts.record(addr, err == nil)
+	if err != nil {
 		f.events.Emit(events.ExchangeFailed, events.Fields{"peer": addr, "reason": err.Error(), "position": f.replica.View().Next})
-		return // a later exchange compensates for a failed one
+		return false
 	}
 	f.observeReader(time.Duration(reply.Age) * time.Millisecond)
 	f.replica.Apply(reply.Batch, addr)
+	return true
 }
 
 // Service serves the RPCs of peers.
--- a/internal/orders/follow.go
+++ b/internal/orders/follow.go
@@ -24,9 +24,10 @@
 	// quickly as a second one would.
 	readersPerZone       = 2
 	singleReaderZoneSize = 12
-	// longPollTimeout is the time that a read waits for new records. A connection that hangs is
-	// detected after it.
-	longPollTimeout = 8 * time.Second
+	// longPollTimeout is the time that a read waits for new records. A store that no longer answers
+	// is noticed after it and the timeout of a call, which together must not exceed the time that a
+	// store has to be available for before orders have to be in force in time again.
+	longPollTimeout = 2 * time.Second
 	// minReadInterval is the minimum pause after a read that returned records, so that a burst of
 	// changes is read in batches. It is a fifth of the time within which an order has to be in force.
 	minReadInterval = 400 * time.Millisecond
@@ -40,12 +41,15 @@
 	// readerTimeout is the time without any sign of a working reader after which every node reads the
 	// topic itself. It is longer than a long poll and its retry.
 	readerTimeout = longPollTimeout + 2*time.Second
-	// repairInterval is the mean time between exchanges with a peer: four nodes of a zone together
-	// exchange with other zones more than twice a second.
+	// readerCandidates is the number of nodes of a zone, by rank, that take the place of a reader as
+	// soon as it does not respond to them. The others wait for the failure detector.
+	readerCandidates = 12
+	// repairInterval is the mean time between exchanges with peers: a quarter of the time within which
+	// an order has to be in force.
 	repairInterval = 500 * time.Millisecond
-	// crossZoneRatio is the fraction of the exchanges that go to other zones, to which traffic is
-	// expensive.
-	crossZoneRatio = 0.33
+	// crossZonePeriod is the number of exchanges of which one goes to another zone. It bounds the time
+	// for which the nodes of a zone miss an order when their readers fail.
+	crossZonePeriod = 2
 	// storeDownRepairInterval is the mean time between exchanges of a node that cannot read the
 	// store: it pulls from other zones instead, since its zone has to have an order in force within 2 s.
 	storeDownRepairInterval = 300 * time.Millisecond
@@ -89,11 +93,14 @@
 	synced atomic.Bool
 	// fetching is set while this node pulls advertised records from a peer.
 	fetching atomic.Bool
+	// contacts are the peers that did not respond to the last exchange.
+	contacts contacts
 }
 
 // NewFollower returns a follower that keeps replica up to date while Run runs.
 func NewFollower(replica *Replica, source Source, peers PeerClient, members Membership, ev *events.Recorder) *Follower {
-	f := &Follower{replica: replica, source: source, peers: peers, members: members, events: ev, ready: make(chan struct{})}
+	f := &Follower{replica: replica, source: source, peers: peers, members: members, events: ev, ready: make(chan struct{}),
+		contacts: newContacts()}
 	f.observeReader(0)
 	return f
 }
@@ -171,7 +178,7 @@
 			f.events.Emit(events.ReaderChanged, events.Fields{"reads": role != notReading, "reason": role, "age_ms": f.readerAge(), "position": f.replica.View().Next})
 		}
 		if role == notReading {
-			duration.Sleep(ctx, roleCheckInterval/2+rand.N(roleCheckInterval))
+			f.contacts.awaitChange(ctx, roleCheckInterval/2+rand.N(roleCheckInterval))
 			continue
 		}
 		gotRecords, err := f.read(ctx)
@@ -262,24 +269,57 @@
 	}
 }
 
-// IsReader reports whether this node reads the topic for its zone. The readers are the highest
-// ranked alive nodes of the zone by rendezvous hashing (Thaler and Ravishankar 1998).
+// IsReader reports whether this node reads the topic for its zone. The readers are the highest ranked
+// alive nodes of the zone by rendezvous hashing (Thaler and Ravishankar 1998), without those that did
+// not respond to this node.
 func (f *Follower) IsReader() bool {
+	above, readers := f.rankedAbove()
+	for _, addr := range above {
+		if !f.contacts.failed(addr) {
+			readers--
+		}
+	}
+	return readers > 0
+}
+
+// rankedAbove returns the alive nodes of the own zone that rank above this node as readers, the highest
+// first, and the number of readers that the zone has.
+func (f *Follower) rankedAbove() (above []string, readers int) {
 	self := f.members.Self()
-	mine, higher, nodes := readerRank(self.Addr), 0, 0
+	mine, nodes := readerRank(self.Addr), 0
 	for _, m := range f.members.Alive() {
 		if m.Zone != self.Zone {
 			continue
 		}
 		nodes++
 		if m.Addr != self.Addr && readerRank(m.Addr) > mine {
-			higher++
+			above = append(above, m.Addr)
 		}
 	}
+	slices.SortFunc(above, func(a, b string) int { return cmp.Compare(readerRank(b), readerRank(a)) })
 	if nodes >= singleReaderZoneSize {
-		return higher == 0
+		return above, 1
+	}
+	return above, readersPerZone
+}
+
+// readersToCheck returns the nodes of the own zone on which the role of this node depends: those ranked
+// above it, down to as many responding ones as the zone has readers. It is empty for nodes that are no
+// candidates.
+func (f *Follower) readersToCheck() []string {
+	above, readers := f.rankedAbove()
+	if len(above) >= readerCandidates {
+		return nil
+	}
+	for i, addr := range above {
+		if !f.contacts.failed(addr) {
+			readers--
+		}
+		if readers == 0 {
+			return above[:i+1]
+		}
 	}
-	return higher < readersPerZone
+	return above
 }
 
 // readerRank returns the rendezvous hash of a node. All nodes must use the same salt.
