delivery: end the assumption of a cold upstream by a health check only

What callers saw: FAILBACK, a cold upstream that got more requests in a second than it bears.

Cause: stale evidence taken as current. An owner assumes that its upstream is cold when its zone comes back in, and any announcement ended that. An announcement carries no time and may be seconds late: one from before the upstream turned cold made the owner send at full rate. The same holds for the announcements that a resumed process finds in its receive buffers and for the first one that a new process gets. A health check that names no remaining time overwrote the announced one.

Fix: the assumption ends with the response to a health check that was sent after it began, or after 5 s. It begins when the zone is in again, when the process was suspended, and at its start. A health check can extend an announced cold phase, not shorten it. Why this works: only the response to a question is known to be younger than the question. Cost: one health check for each of these events.

--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -78,10 +78,8 @@
 	running running
 
 	// mu makes a change of the upstream and of the gate atomic.
-	mu sync.Mutex
-	// assumeColdUntil is until when the upstream counts as cold because its zone is back in: it may be
-	// cold without having announced it.
-	assumeColdUntil time.Time
+	mu             sync.Mutex
+	coldAssumption coldAssumption
 	// coldReported is the end of the cold phase in the last event about it.
 	coldReported time.Time
 	// draining is set when this node stops, and never reset.
@@ -91,7 +89,11 @@
 }
 
 // New returns an Owner without an upstream. ctx ends with the process.
-func New(ctx context.Context, c Config) *Owner { return &Owner{Config: c, lifetime: ctx} }
+func New(ctx context.Context, c Config) *Owner {
+	o := &Owner{Config: c, lifetime: ctx}
+	o.coldAssumption.begin(time.Now())
+	return o
+}
 
 // maxResponseBytes limits a response of the upstream to what fits into a message between nodes.
 const maxResponseBytes = 15 << 20
@@ -124,8 +126,7 @@
 		old.down.Store(false)
 		next := &current{Upstream: u, client: old.client, quality: old.quality}
 		o.up.Store(next)
-		o.assumeColdUntil = time.Time{}
-		o.open(next, coldAnnounced)
+		o.open(next, ColdAnnounced)
 	default:
 		next := &current{Upstream: u, quality: &quality{},
 			client: upstream.NewClient(u.Address, o.Dialer, o.connections(u.Service), maxResponseBytes, nil).SetDialect(o.Wire.Dialect()).SetBeforeSend(o.Gate.WaitToSend)}
@@ -133,8 +134,7 @@
 		if old != nil {
 			old.client.CloseIdle()
 		}
-		o.assumeColdUntil = time.Time{}
-		o.open(next, coldAnnounced)
+		o.open(next, ColdAnnounced)
 	}
 }
 
@@ -143,23 +143,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if up := o.up.Load(); up != nil && up.State == registry.Ready && !up.down.Load() {
-		o.open(up, coldConfigured)
+		o.open(up, ColdConfigured)
 	}
 }
 
-// AssumeCold treats the upstream as cold until it announces itself again, for assumeColdLimit at most.
-func (o *Owner) AssumeCold() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.assumeColdUntil = time.Now().Add(assumeColdLimit)
-	if up := o.up.Load(); up != nil && up.State == registry.Ready {
-		o.open(up, coldAssumed)
-	}
-}
-
-// assumeColdLimit limits how long an upstream counts as cold without an announcement.
-const assumeColdLimit = 5 * time.Second
-
 // Drain refuses all new requests from now on, because this node stops. Refused requests have not run.
 func (o *Owner) Drain() {
 	o.mu.Lock()
@@ -168,33 +155,8 @@
 	o.Gate.Close(proxy.ReasonDraining)
 }
 
-// coldReason is the evidence from which an upstream counts as cold or warm.
-type coldReason string
-
-const (
-	coldAnnounced  coldReason = "announcement"
-	coldConfigured coldReason = "configuration"
-	coldAssumed    coldReason = "zone in again"
-	coldChecked    coldReason = "health check"
-)
-
-// coldReportStep is the change of the end of a cold phase from which it is reported again.
-const coldReportStep = time.Second
-
-// reportCold emits an event if the upstream has turned cold or warm or its cold phase ends at another time. o.mu is held.
-func (o *Owner) reportCold(up *current, until time.Time, rate float64, reason coldReason) {
-	now := time.Now()
-	left, known := max(0, until.Sub(now)), max(0, o.coldReported.Sub(now))
-	if (left > 0) == (known > 0) && (left-known).Abs() < coldReportStep {
-		return
-	}
-	o.coldReported = until
-	o.Events.Emit(events.ColdPhase, events.Fields{"instance": up.Instance, "sequence": up.Sequence, "born": up.Born, "cold_ms": left.Milliseconds(),
-		"rate": rate, "reason": reason})
-}
-
 // open opens the gate for an upstream that takes requests. reason is why it is opened now. o.mu is held.
-func (o *Owner) open(up *current, reason coldReason) {
+func (o *Owner) open(up *current, reason ColdReason) {
 	if o.draining {
 		return
 	}
@@ -209,10 +171,8 @@
 	if s := t.Service(up.Service); s != nil {
 		rate = o.Cold.allowed(s.ColdPerSecond)
 	}
-	until := up.ColdUntil
-	if o.assumeColdUntil.After(until) {
-		until = o.assumeColdUntil
-	}
+	until := later(up.ColdUntil, o.coldAssumption.until)
+	o.checkAssumption(rate)
 	o.reportCold(up, until, rate, reason)
 	o.Gate.Open(up.Slots, until, rate)
 }
--- a/internal/delivery/owner_test.go
+++ b/internal/delivery/owner_test.go
@@ -26,7 +26,7 @@
 func TestOrdersDoNotReopenADrainingUpstream(t *testing.T) {
 	for name, order := range map[string]func(*Owner){
 		"configuration": (*Owner).Refresh,
-		"zone in":       (*Owner).AssumeCold,
+		"zone in":       func(o *Owner) { o.AssumeCold(ColdZoneIn) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			o := newOwner(t)
--- a/internal/delivery/probe.go
+++ b/internal/delivery/probe.go
@@ -45,14 +45,25 @@
 		if o.up.Load() != up || !up.down.Load() {
 			return
 		}
-		if h, ok := o.checkHealth(up); ok && h.OK && h.Instance == up.Instance {
+		if h, ok := o.checkDown(up); ok && h.OK && h.Instance == up.Instance {
 			o.restore(up, h)
 			return
 		}
 	}
 }
 
-func (o *Owner) checkHealth(up *current) (Health, bool) {
+// checkDown sends a health check to an upstream that is down, if it accepts connections.
+func (o *Owner) checkDown(up *current) (Health, bool) {
+	ctx, cancel := context.WithTimeout(o.lifetime, healthCheckTimeout)
+	defer cancel()
+	if !up.client.AcceptsConn(ctx) {
+		return Health{}, false
+	}
+	return o.checkHealth(up)
+}
+
+// checkHealth sends one health check; ok is false if there was no response.
+func (o *Owner) checkHealth(up *current) (h Health, ok bool) {
 	ctx, cancel := context.WithTimeout(o.lifetime, healthCheckTimeout)
 	defer cancel()
 	hr, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -62,7 +73,7 @@
 	if t := o.Table(); t != nil && t.Service(up.Service) != nil {
 		path = t.Service(up.Service).HealthPath
 	}
-	if path == "" || !up.client.AcceptsConn(ctx) {
+	if path == "" {
 		return Health{}, false
 	}
 	o.Wire.HealthCheck(hr, path)
@@ -79,9 +90,9 @@
 	if o.up.Load() != up {
 		return
 	}
-	next := &current{Upstream: up.Upstream, client: up.client, quality: up.quality}
-	next.ColdUntil = time.Now().Add(h.Cold)
+	next := up.checked(h, time.Now())
 	o.up.Store(next)
+	o.coldAssumption.end()
 	o.Events.Emit(events.UpstreamBack, events.Fields{"service": up.Service, "instance": up.Instance, "cold_ms": h.Cold.Milliseconds()})
-	o.open(next, coldChecked)
+	o.open(next, ColdChecked)
 }
--- a/internal/sidecar/process.go
+++ b/internal/sidecar/process.go
@@ -7,6 +7,7 @@
 	"time"
 	"unsafe"
 
+	"celerybank/internal/delivery"
 	"celerybank/internal/events"
 )
 
@@ -74,6 +75,7 @@
 func (n *Node) resumed(suspended time.Duration) {
 	n.process.staleUntil.Store(time.Now().Add(resumeHoldOff).UnixNano())
 	n.events.Emit(events.Woken, events.Fields{"slept_ms": suspended.Milliseconds()})
+	n.owner.AssumeCold(delivery.ColdResumed)
 	n.registry.Forget()
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -127,7 +127,7 @@
 func (n *Node) ordersChanged(old, now *orders.View) {
 	zone := n.settings.Zone
 	if old.ZonesOut[zone] && !now.ZonesOut[zone] {
-		n.owner.AssumeCold()
+		n.owner.AssumeCold(delivery.ColdZoneIn)
 	}
 	n.rollouts.ApplyOrders(old, now)
 	n.owner.Refresh()
