delivery: treat an upstream that closes all connections as cold

Cause: an upstream that restarts between two announcements, and is back before a connection is refused, was sent to at full rate until it announced itself. The client reports that all connections were closed within a second, but the owner passed no handler.

Fix: the owner assumes that the upstream is cold and asks it by a health check.

--- a/internal/delivery/cold.go
+++ b/internal/delivery/cold.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// handleRestart handles an upstream that has closed all of its connections at once: it may have restarted
+// under the same name and address.
+func (o *Owner) handleRestart(up *current) {
+	if now := o.up.Load(); now != nil && now.client == up.client {
+		o.AssumeCold(ColdRestarted)
+	}
+}
+
 // checkAssumption starts the health checks that end an assumption, if it matters: a rate of 0 is no limit.
 // o.mu is held.
 func (o *Owner) checkAssumption(rate float64) {
--- a/internal/delivery/cold_test.go
+++ b/internal/delivery/cold_test.go
@@ -213,3 +213,17 @@
 		}
 	})
 }
+// An upstream that restarts between two announcements closes all of its connections. It must not get more
+// than it bears when cold until it announces itself.
+func TestUpstreamThatClosesAllConnectionsCountsAsCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newColdFixture(t)
+		defer f.stop()
+		time.Sleep(6 * time.Second)
+		f.upstream.turnCold(3*time.Second, true)
+		time.Sleep(1500 * time.Millisecond)
+		if n, most := f.upstream.busiest(), coldRate*coldOvershoot+coldSlack; float64(n) > most {
+			t.Errorf("a restarted upstream got %d requests in one second, want at most %v", n, most)
+		}
+	})
+}
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -128,8 +128,9 @@
 		o.up.Store(next)
 		o.open(next, ColdAnnounced)
 	default:
-		next := &current{Upstream: u, quality: &quality{},
-			client: upstream.NewClient(u.Address, o.Dialer, o.connections(u.Service), maxResponseBytes, nil).SetDialect(o.Wire.Dialect()).SetBeforeSend(o.Gate.WaitToSend)}
+		next := &current{Upstream: u, quality: &quality{}}
+		next.client = upstream.NewClient(u.Address, o.Dialer, o.connections(u.Service), maxResponseBytes, func() { o.handleRestart(next) }).
+			SetDialect(o.Wire.Dialect()).SetBeforeSend(o.Gate.WaitToSend)
 		o.up.Store(next)
 		if old != nil {
 			old.client.CloseIdle()
