sidecar: detect a suspension before handling a request

A suspended node also passed on requests whose callers had left.

Cause: a resumed process notices at the next tick of its clocks, up to 0.1 s later. Until then it handles what waits in its receive buffers, with the beliefs of before: all at once to an upstream that may have restarted meanwhile.

--- a/internal/delivery/cold_test.go
+++ b/internal/delivery/cold_test.go
@@ -213,6 +213,7 @@
 		}
 	})
 }
+
 // An upstream that restarts between two announcements closes all of its connections. It must not get more
 // than it bears when cold until it announces itself.
 func TestUpstreamThatClosesAllConnectionsCountsAsCold(t *testing.T) {
--- a/internal/sidecar/process.go
+++ b/internal/sidecar/process.go
@@ -17,16 +17,25 @@
 	// staleUntil is the time until which the node serves nothing after a resume, in Unix nanoseconds.
 	staleUntil    atomic.Int64
 	cpuStarvation cpuStarvation
+	suspension    suspension
 }
 
-// viewFresh reports whether the node's view of the mesh is current: it is not right after a resume.
-func (s *processState) viewFresh() bool { return time.Now().UnixNano() >= s.staleUntil.Load() }
+// viewFresh reports whether the node's view of the mesh is current: it is not right after a resume. Requests
+// that waited in receive buffers while the process was suspended are handled before any timer, so that a
+// suspension has to be detected here too.
+func (n *Node) viewFresh() bool {
+	now := time.Now()
+	if n.process.suspension.suspected(now) {
+		n.checkSuspension(now)
+	}
+	return now.UnixNano() >= n.process.staleUntil.Load()
+}
 
 // ready reports whether callers may send requests to this node.
 func (n *Node) ready() bool {
 	select {
 	case <-n.follower.Ready():
-		return !n.process.draining.Load() && n.process.viewFresh() && !n.process.cpuStarvation.active(time.Now())
+		return !n.process.draining.Load() && n.viewFresh() && !n.process.cpuStarvation.active(time.Now())
 	default:
 		return false
 	}
@@ -43,26 +52,25 @@
 	expiryInterval = 500 * time.Millisecond
 )
 
-// housekeeping expires leases and detects that the process was suspended: the boot-time clock, which
-// counts suspended time, is then ahead of the monotonic clock. It also measures timer delays to detect CPU starvation.
+// housekeeping expires leases and detects that the process was suspended. It also measures timer delays to
+// detect CPU starvation.
 func (n *Node) housekeeping(ctx context.Context) error {
 	tick := time.NewTicker(housekeepingInterval)
 	defer tick.Stop()
-	lastBoot, lastExpiry := bootTime(), time.Now()
-	lastTick := time.Now()
+	lastExpiry, lastTick := time.Now(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
 		}
-		boot, now := bootTime(), time.Now()
-		if suspended := (boot - lastBoot) - now.Sub(lastTick); suspended > suspendThreshold {
-			n.resumed(suspended)
-		} else if late := now.Sub(lastTick) - housekeepingInterval; n.process.cpuStarvation.observe(late, now) {
-			n.events.Emit(events.Strained, events.Fields{"late_ms": n.process.cpuStarvation.mean.Milliseconds(), "for_ms": starvationHold.Milliseconds()})
+		now := time.Now()
+		if !n.checkSuspension(now) {
+			if late := now.Sub(lastTick) - housekeepingInterval; n.process.cpuStarvation.observe(late, now) {
+				n.events.Emit(events.Strained, events.Fields{"late_ms": n.process.cpuStarvation.mean.Milliseconds(), "for_ms": starvationHold.Milliseconds()})
+			}
 		}
-		lastBoot, lastTick = boot, now
+		lastTick = now
 		if now.Sub(lastExpiry) >= expiryInterval {
 			lastExpiry = now
 			n.registry.Expire()
@@ -71,6 +79,17 @@
 	}
 }
 
+// checkSuspension drops outdated state if the process was suspended since the last check, and reports
+// whether it was.
+func (n *Node) checkSuspension(now time.Time) bool {
+	suspended := n.process.suspension.observe(now, bootTime())
+	if suspended <= suspendThreshold {
+		return false
+	}
+	n.resumed(suspended)
+	return true
+}
+
 // resumed drops state that may have become outdated while the process was suspended.
 func (n *Node) resumed(suspended time.Duration) {
 	n.process.staleUntil.Store(time.Now().Add(resumeHoldOff).UnixNano())
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -69,6 +69,7 @@
 // New assembles a node without starting it. ctx must last as long as the process.
 func New(ctx context.Context, s platform.Settings, network peer.Network, ev *events.Recorder) *Node {
 	n := &Node{settings: s, network: network, events: ev, handoverInbox: newHandoverInbox()}
+	n.process.suspension.init(time.Now(), bootTime())
 	n.store = platform.NewClient(s.Store.Address, platform.RequestTimeout, network.Dial)
 	operator := platform.NewOperator(n.store)
 	n.pool = peer.NewPool(network, ev, nil)
@@ -92,7 +93,7 @@
 	n.replica.Subscribe(n.ordersChanged)
 	n.budget = &dispatch.Budget{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Nodes: n.aliveMembers}
 	n.dispatch = dispatch.New(dispatch.Config{Addr: s.Peers, View: n.replica.View, Balancer: n.balancer, Owner: n.owner, Peers: n.pool,
-		Budget: n.budget, Crashes: n.crashes, Canaries: n.rollouts, Events: ev, ViewFresh: n.process.viewFresh})
+		Budget: n.budget, Crashes: n.crashes, Canaries: n.rollouts, Events: ev, ViewFresh: n.viewFresh})
 	n.ingress = ingress.New(ingress.Config{Handler: n, Limits: n.limits, BodyBytes: maxBodyBytes,
 		TotalBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes))})
 	n.metrics = newCallMetrics(n)
@@ -114,6 +115,8 @@
 // refusalReason returns why the upstream of this host must not run requests of the version, or ReasonNone.
 func (n *Node) refusalReason(version string) proxy.Reason {
 	switch {
+	case !n.viewFresh():
+		return proxy.ReasonNotReady
 	case n.replica.View().ZonesOut[n.settings.Zone]:
 		return proxy.ReasonZoneOut
 	case n.rollouts.Excluded(n.settings.Service, version):
