orders: report a zone as in again to nodes that did not see it out

Cause: an owner assumed a cold upstream when its own view changed from out to in. A node that is cut off while its zone is out learns only the newest record of the key, the withdrawal, and assumed nothing.

Evidence: TestZoneThatWasOutUnnoticedIsReportedAsIn; before, the view of the node that was cut off did not differ in anything from one on which nothing had happened (the field is new, so the test did not compile).

Fix: the view keeps the offset of the newest withdrawal of each zone, and the owner acts on that.

--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -39,7 +39,7 @@
 	ZoneOut string
 }
 
-// Decoder decodes uncompressed records.
+// Decoder decodes uncompressed records. Of a record without a value, which withdraws an order, it decodes what the key says.
 type Decoder interface {
 	Decode(Record) (Order, error)
 }
--- a/internal/orders/replica.go
+++ b/internal/orders/replica.go
@@ -20,6 +20,9 @@
 	Rollouts map[string]Rollout
 	// ZonesOut are the availability zones whose upstreams get no requests.
 	ZonesOut map[string]bool
+	// ZonesIn are the offsets of the newest orders that put an availability zone in again. They are kept also if this node
+	// never knew that the zone was out.
+	ZonesIn map[string]int64
 }
 
 // Replica holds this node's copy of the newest record of each key and the view derived from them. The
@@ -43,7 +46,7 @@
 // NewReplica returns a Replica without records.
 func NewReplica(decoder Decoder, ev *events.Recorder) *Replica {
 	r := &Replica{decoder: decoder, events: ev, records: map[string]Record{}, inForce: map[string]Order{}, changed: make(chan struct{})}
-	r.view.Store(&View{Rollouts: map[string]Rollout{}, ZonesOut: map[string]bool{}})
+	r.view.Store(&View{Rollouts: map[string]Rollout{}, ZonesOut: map[string]bool{}, ZonesIn: map[string]int64{}})
 	return r
 }
 
@@ -85,7 +88,7 @@
 	}
 	view := *old
 	view.Next = batch.Next
-	view.Rollouts, view.ZonesOut = maps.Clone(old.Rollouts), maps.Clone(old.ZonesOut)
+	view.Rollouts, view.ZonesOut, view.ZonesIn = maps.Clone(old.Rollouts), maps.Clone(old.ZonesOut), maps.Clone(old.ZonesIn)
 	if batch.Full {
 		r.withdrawMissing(&view, batch)
 		r.fullAt = batch.Next
@@ -116,6 +119,7 @@
 		if !has[key] && len(rec.Value) > 0 && rec.Offset < batch.Next {
 			r.records[key] = Record{Key: key, Offset: rec.Offset}
 			r.withdraw(view, key)
+			r.putZoneIn(view, Record{Key: key, Offset: batch.Next})
 			r.events.Emit(events.OrderWithdrawn, events.Fields{"key": key, "source": "full batch"})
 		}
 	}
@@ -131,10 +135,18 @@
 	}
 }
 
+// putZoneIn records that a withdrawal puts an availability zone in again, if it does.
+func (r *Replica) putZoneIn(view *View, withdrawal Record) {
+	if order, err := r.decoder.Decode(withdrawal); err == nil && order.ZoneOut != "" {
+		view.ZonesIn[order.ZoneOut] = withdrawal.Offset
+	}
+}
+
 // applyRecord applies one record to the view. A record that cannot be decoded or is outdated leaves the view unchanged.
 func (r *Replica) applyRecord(view *View, rec Record, source string) {
 	if len(rec.Value) == 0 {
 		r.withdraw(view, rec.Key)
+		r.putZoneIn(view, rec)
 		r.events.Emit(events.OrderWithdrawn, events.Fields{"key": rec.Key, "offset": rec.Offset, "source": source})
 		return
 	}
--- a/internal/orders/replica_test.go
+++ b/internal/orders/replica_test.go
@@ -75,3 +75,20 @@
 		t.Errorf("at the peer: got view %+v, want zone a in, service a to v2, position 9", v)
 	}
 }
+
+// A node is cut off while a zone is taken out and put in again, and learns of both at once: it must learn that the zone
+// was put in, since its upstream may have turned cold meanwhile.
+func TestZoneThatWasOutUnnoticedIsReportedAsIn(t *testing.T) {
+	up, cut := NewReplica(testDecoder{}, nil), NewReplica(testDecoder{}, nil)
+	first := Batch{Next: 1, Records: []Record{record("config", "1", 0)}}
+	up.Apply(first, "store")
+	cut.Apply(first, "store")
+	up.Apply(Batch{Next: 2, Records: []Record{record("out/a", "{}", 1)}}, "store")
+	up.Apply(Batch{Next: 3, Records: []Record{record("out/a", "", 2)}}, "store")
+	cut.Apply(up.After(cut.View().Next), "peer")
+	for name, r := range map[string]*Replica{"in touch": up, "cut off": cut} {
+		if v := r.View(); v.ZonesOut["a"] || v.ZonesIn["a"] != 2 {
+			t.Errorf("%s: zone out %v, put in at %d, want in since 2", name, v.ZonesOut["a"], v.ZonesIn["a"])
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -126,10 +126,10 @@
 }
 
 // ordersChanged applies new operator orders. The upstream of a zone that is in again may have become
-// cold while it received no requests.
+// cold while it received no requests, also if this node has not seen that the zone was out.
 func (n *Node) ordersChanged(old, now *orders.View) {
 	zone := n.settings.Zone
-	if old.ZonesOut[zone] && !now.ZonesOut[zone] {
+	if now.ZonesIn[zone] > old.ZonesIn[zone] {
 		n.owner.AssumeCold(delivery.ColdZoneIn)
 	}
 	n.rollouts.ApplyOrders(old, now)
