dispatch, registry: stop sending to upstreams that say in responses that they leave

Cause: nothing read the header. Reading it at the owner is not enough: a restarted owner has forgotten it, and the upstream may announce that it is ready, while entry nodes that passed the header on are bound by it.

The owner hands it to the registry, where it has the effect of an announcement that the process drains: the gate closes and the members learn of it. The response tells the entry node too, which never picks this process of the upstream again, also after its owner has restarted.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -190,6 +190,9 @@
 			continue
 		}
 		s := e.state(now)
+		if s.leaving {
+			continue
+		}
 		if cost := b.cost(e, s, mean, c); best == nil || cost < least {
 			best, least, free = e, cost, s.wait == 0 && !s.avoided
 		}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -303,3 +303,31 @@
 		t.Errorf("of another process: heard %d, want nothing", got)
 	}
 }
+
+// An upstream says in a response that it leaves. The node gets no more of its requests to it, also after its owner has
+// restarted and does not know, as the upstream may not say it in its announcements. Its successor gets requests.
+func TestUpstreamThatSaidThatItLeavesIsNotPickedAgain(t *testing.T) {
+	b := New("a")
+	m := gossip.Member{Addr: "10.0.0.1:7000", Zone: "a", Upstream: gossip.Upstream{Service: "s", Version: "v1", Instance: "i", Slots: 4, Since: 5}}
+	b.Update(m)
+	pick := func() *Endpoint {
+		e, _ := b.Pick(Criteria{Service: "s", Target: time.Second})
+		return e
+	}
+	pick().MarkLeaving()
+	if e := pick(); e != nil {
+		t.Fatalf("picked %s, want none", e.Instance)
+	}
+	down := m
+	down.Upstream = gossip.Upstream{}
+	b.Update(down)
+	b.Update(m)
+	if e := pick(); e != nil {
+		t.Errorf("after the restart of the owner: picked %s, want none", e.Instance)
+	}
+	m.Upstream.Since = 6
+	b.Update(m)
+	if pick() == nil {
+		t.Error("another process was not picked")
+	}
+}
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -43,6 +43,8 @@
 	failures   int
 	// heard is what this node has heard of the limit that the upstream names.
 	heard ratelimit.Heard
+	// leaving is set once the upstream has said in a response that it leaves.
+	leaving bool
 	// suspect is set while the membership suspects the host.
 	suspect bool
 }
@@ -113,6 +115,16 @@
 	return e.heard.Hint(now)
 }
 
+// MarkLeaving records that the upstream said that it leaves, and reports whether this is new. It is picked no
+// more.
+func (e *Endpoint) MarkLeaving() (first bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	first = !e.leaving
+	e.leaving = true
+	return first
+}
+
 // ResetFailures ends the series of failures to reach the upstream: it has responded.
 func (e *Endpoint) ResetFailures() {
 	e.mu.Lock()
@@ -197,6 +209,7 @@
 	// utilization is the ratio of slots in use to the limit.
 	utilization float64
 	avoided     bool
+	leaving     bool
 }
 
 func (e *Endpoint) state(now time.Time) state {
@@ -208,7 +221,7 @@
 		inUse -= float64(old) / float64(e.meanTime) * float64(e.limit)
 	}
 	inUse = max(inUse, float64(e.inflight))
-	s := state{slowness: e.slowness, failureRatio: e.failureRatio, transit: e.decayedTransit(now), utilization: inUse / float64(e.limit), avoided: e.suspect || now.Before(e.avoidUntil)}
+	s := state{slowness: e.slowness, failureRatio: e.failureRatio, transit: e.decayedTransit(now), utilization: inUse / float64(e.limit), avoided: e.suspect || now.Before(e.avoidUntil), leaving: e.leaving}
 	if over := inUse + 1 - float64(e.limit); over > 0 {
 		s.wait = time.Duration(over * float64(e.meanTime) / float64(e.limit))
 	}
--- a/internal/delivery/cold_test.go
+++ b/internal/delivery/cold_test.go
@@ -28,7 +28,7 @@
 // testWire is a protocol with the few headers that an owner needs.
 type testWire struct{}
 
-const healthPath, instanceHeader, coldHeader, limitHeader = "/health", "Instance", "Cold-Ms", "Limit"
+const healthPath, instanceHeader, coldHeader, limitHeader, leavingHeader = "/health", "Instance", "Cold-Ms", "Limit", "Leaving"
 
 func (testWire) Dialect() upstream.Dialect {
 	return upstream.Dialect{NotExecuted: func(*fasthttp.Response) bool { return false }}
@@ -44,10 +44,11 @@
 }
 
 func (testWire) Notices(in *fasthttp.Response) Notices {
+	n := Notices{RateLimit: -1, Leaving: len(in.Header.Peek(leavingHeader)) > 0}
 	if rate, err := strconv.ParseFloat(string(in.Header.Peek(limitHeader)), 64); err == nil {
-		return Notices{RateLimit: rate}
+		n.RateLimit = rate
 	}
-	return Notices{RateLimit: -1}
+	return n
 }
 
 func (testWire) HealthCheck(out *fasthttp.Request, path string) {
@@ -71,6 +72,7 @@
 	coldUntil time.Time
 	arrived   []time.Time
 	limit     float64 // named in responses; 0 is none
+	leaving   bool    // said in responses
 }
 
 // nameLimit sets the limit that responses name, in requests per second; 0 is none.
@@ -114,6 +116,9 @@
 		if string(req.URI().Path()) != healthPath {
 			u.arrived = append(u.arrived, time.Now())
 		}
+		if u.leaving {
+			limit += leavingHeader + ": 1\r\n"
+		}
 		u.mu.Unlock()
 		time.Sleep(workTime)
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %d\r\n%sContent-Length: 0\r\n\r\n", instanceHeader, upstreamID, coldHeader, cold.Milliseconds(), limit)
@@ -140,6 +145,13 @@
 	return busiestSecond(u.arrived)
 }
 
+// total returns the number of requests since the upstream has turned cold.
+func (u *testUpstream) total() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.arrived)
+}
+
 // coldFixture is an owner with a warm upstream and callers that send as fast as it admits.
 type coldFixture struct {
 	owner    *Owner
--- a/internal/delivery/limit_test.go
+++ b/internal/delivery/limit_test.go
@@ -1,10 +1,12 @@
 package delivery
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"celerybank/internal/proxy"
 	"celerybank/internal/ratelimit"
 )
 
@@ -27,7 +29,7 @@
 		time.Sleep(500 * time.Millisecond)
 		f.upstream.turnCold(0, false) // starts the count
 		time.Sleep(3 * limitWindow)
-		n := len(f.upstream.arrived)
+		n := f.upstream.total()
 		if most := 3 * (limitOvershoot*namedLimit*limitWindow.Seconds() + limitSlack); float64(n) > most {
 			t.Errorf("got %d requests in three windows, want at most %v", n, most)
 		}
@@ -64,3 +66,35 @@
 		t.Errorf("admitted %d requests at once, want at most 2", admitted)
 	}
 }
+
+// The owner must report a leave that the upstream says in a response to its host's registry, and to the entry node only
+// if that asked for the same process: its next one does not leave.
+func TestLeaveInAResponseIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newColdFixture(t)
+		defer f.stop()
+		left := map[int64]bool{}
+		var mu sync.Mutex
+		f.owner.Leaving = func(instance string, born int64) {
+			mu.Lock()
+			defer mu.Unlock()
+			left[born] = instance == upstreamID
+		}
+		time.Sleep(time.Second)
+		f.upstream.mu.Lock()
+		f.upstream.leaving = true
+		f.upstream.mu.Unlock()
+		time.Sleep(time.Second)
+		for instance, want := range map[string]bool{upstreamID: true, "i-0": false} {
+			res := f.owner.Handle(t.Context(), &proxy.Request{Service: "stock", Instance: instance, Timeout: time.Second, Target: time.Second, WaitToDeadline: true})
+			if res.Leaving != want {
+				t.Errorf("request to %s: leaving %v, want %v", instance, res.Leaving, want)
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if !left[1] || len(left) != 1 {
+			t.Errorf("reported leaves: %v, want that of the process started at 1", left)
+		}
+	})
+}
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -50,6 +50,8 @@
 	// RateLimit is the limit that the upstream names, in requests per second from all nodes together; it is
 	// negative if it names none.
 	RateLimit float64
+	// Leaving is set if the upstream says that it leaves: it must get no more requests.
+	Leaving bool
 	// Malformed is set if the limit cannot be read; RateLimit has no meaning then.
 	Malformed bool
 }
@@ -82,8 +84,10 @@
 	RefusalReason func(version string) proxy.Reason
 	Crashes       *crash.Registry
 	Observer      Observer
-	Events        *events.Recorder
-	Cold          ColdBound
+	// Leaving is called when a response of the upstream says that it leaves.
+	Leaving func(instance string, born int64)
+	Events  *events.Recorder
+	Cold    ColdBound
 	// MeanProcessingTime returns the mean processing time on a route of a service, 0 when unknown.
 	MeanProcessingTime func(service, route string) time.Duration
 }
@@ -289,7 +293,8 @@
 	if err != nil {
 		return o.handleError(ctx, up, req, v, err, took)
 	}
-	o.observeNotices(up, o.Wire.Notices(resp), start)
+	notices := o.Wire.Notices(resp)
+	o.observeNotices(up, notices, start)
 	res, corrupt := o.Wire.Response(resp, req, v)
 	res.ProcessingTime = took
 	if corrupt {
@@ -297,6 +302,7 @@
 		res = proxy.Refusal(verdict.MayHaveRun, proxy.ReasonInvalidResponse)
 		res.ProcessingTime = took
 	}
+	res.Leaving = notices.Leaving && req.Instance == up.Instance
 	failed := corrupt || res.Verdict == verdict.NotRun || res.Status >= fasthttp.StatusInternalServerError
 	up.quality.observe(took, o.meanTime(req), failed, time.Now())
 	if res.Verdict != verdict.NotRun {
@@ -310,6 +316,9 @@
 
 // observeNotices applies what the upstream says of itself in the response to a request that was sent at sent.
 func (o *Owner) observeNotices(up *current, n Notices, sent time.Time) {
+	if n.Leaving {
+		o.Leaving(up.Instance, up.Born)
+	}
 	if now := o.up.Load(); n.Malformed || now == nil || !now.sameProcess(&up.Upstream) {
 		return
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -242,6 +242,9 @@
 	}
 	// The owner's statistics cover all requests to the upstream and replace those of this node.
 	hasStats := e.UpdateLoad(res.Load, now)
+	if res.Leaving && e.MarkLeaving() {
+		d.Events.Emit(events.LeaveNoticed, events.Fields{"request": r.RequestID, "instance": e.Instance, "addr": e.Addr, "service": e.Service})
+	}
 	mean := d.Balancer.MeanProcessingTime(r.Service, r.Route)
 	switch res.Reason {
 	case proxy.ReasonNone:
--- a/internal/events/sidecar.go
+++ b/internal/events/sidecar.go
@@ -29,6 +29,7 @@
 	ZoneDoubted        Code = 537
 	ZoneReached        Code = 538
 	CallServed         Code = 535
+	LeaveNoticed       Code = 539
 	UpstreamFailed     Code = 536
 	CanaryStep         Code = 720
 	CanaryEnded        Code = 721
@@ -60,6 +61,7 @@
 	EndpointShunned:    {"endpoint-shunned", logrus.InfoLevel, "An upstream could not serve a request; this node sends it fewer or no requests during for_ms. The field reason gives the cause."},
 	ZoneDoubted:        {"zone-doubted", logrus.WarnLevel, "Several hosts of another availability zone stopped responding and no host there responds; this node sends the zone no requests until a heartbeat there is answered."},
 	ZoneReached:        {"zone-reached", logrus.InfoLevel, "A heartbeat was answered in an availability zone that had been unreachable; it gets requests again."},
+	LeaveNoticed:       {"leave-noticed", logrus.InfoLevel, "A response of an upstream says that it leaves; this node sends it no more requests, also if its owner restarts."},
 	CallServed:         {"call-served", logrus.InfoLevel, "A request was served; the setting served_every determines which fraction of these requests is logged."},
 	UpstreamFailed:     {"upstream-failed", logrus.WarnLevel, "An upstream responded with a server error, which was passed to the caller; the logs of the upstream have the cause."},
 	CanaryStep:         {"canary-step", logrus.InfoLevel, "The share of the traffic that a new version gets changed; the field reason gives the evidence."},
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -136,6 +136,8 @@
 	// OwnerTime is how long the request was at the owner, including its time in the queue; 0 when no owner
 	// reports it.
 	OwnerTime time.Duration `msgpack:"e,omitempty"`
+	// Leaving means that the upstream that the request names said in its response that it leaves.
+	Leaving bool `msgpack:"g,omitempty"`
 }
 
 // RatioScale is the scale of the ratios in a Load: they are sent as thousandths.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -176,6 +176,19 @@
 	return true
 }
 
+// Leave records that the process named instance, started at born, said that it leaves. It has the effect of
+// an announcement that the process drains.
+func (r *Registry) Leave(instance string, born int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.handedOver || !r.present || r.current.Instance != instance || r.current.Born != born || r.current.State != Ready {
+		return
+	}
+	r.current.State = Draining
+	r.report(r.current.Announcement)
+	r.onChange(r.current, true)
+}
+
 // HandOver returns the upstream for this process's successor. From then on Announce and End
 // acknowledge nothing, so that the returned state remains valid. ok is false if no upstream
 // accepts requests.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -138,3 +138,22 @@
 		}
 	})
 }
+
+// An upstream says in a response that it leaves, and later announcements of it still say that it is ready.
+func TestLeaveInAResponseIsNotReverted(t *testing.T) {
+	r, u, _ := newTestRegistry()
+	r.Announce(announcement("i-1", 1, 100))
+	r.Leave("i-1", 90) // an earlier process
+	if u.State != Ready {
+		t.Errorf("got state %v after an earlier process left, want %v", u.State, Ready)
+	}
+	r.Leave("i-1", 100)
+	r.Announce(announcement("i-1", 2, 100))
+	if u.State != Draining {
+		t.Errorf("got state %v, want %v", u.State, Draining)
+	}
+	r.Announce(announcement("i-1", 1, 200))
+	if u.State != Ready {
+		t.Errorf("got state %v of the next process, want %v", u.State, Ready)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -87,7 +87,7 @@
 	n.rollouts = canary.New(canary.Config{Addr: s.Peers, Members: n.members, Peers: n.pool, View: n.replica.View, Outcomes: platform.NewStatuses(n.store), Events: ev,
 		Running: n.gate.Running, Bound: canary.Bound{Share: s.Bounds.CanaryShare, Slack: s.Bounds.CanarySlack}})
 	n.owner = delivery.New(ctx, delivery.Config{Gate: n.gate, Dialer: network, Wire: platform.Wire{}, Table: n.table, RefusalReason: n.refusalReason,
-		Crashes: n.crashes, Observer: n.rollouts, Events: ev, Cold: delivery.ColdBound{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
+		Crashes: n.crashes, Observer: n.rollouts, Leaving: n.upstreamLeaves, Events: ev, Cold: delivery.ColdBound{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 		MeanProcessingTime: n.balancer.MeanProcessingTime})
 	n.registry = registry.New(s.Service, s.Upstream, s.AnnounceInterval, ev, n.upstreamChanged)
 	n.replica.Subscribe(n.ordersChanged)
@@ -149,6 +149,9 @@
 	})
 }
 
+// upstreamLeaves applies a response of this host's upstream that says that it leaves.
+func (n *Node) upstreamLeaves(instance string, born int64) { n.registry.Leave(instance, born) }
+
 // Serve handles one request of a caller. It implements ingress.Handler.
 func (n *Node) Serve(ctx context.Context, from ingress.Caller, in *fasthttp.Request, out *fasthttp.Response) {
 	start := time.Now()
