upstream: take a refusal as proof only if it is that of the request

What callers saw (report of other operators, shown here by a test): "not run, try again" for a request that an upstream was running, so that it ran twice or was refused falsely (REFUSED, TWICE).

Cause: a faulty upstream writes an earlier refusal once more on a kept connection. It was dropped if it carried the ID of another request; without an ID, or for a request that the same upstream had refused before on that connection, it was taken for the response to the one in flight.

Fix: a response without an ID counts only as the first one on a connection. A connection remembers what was refused on it and does not carry these requests again, and it is closed after 32 refusals or after a response that did not name its request. Why this works: what is left as proof is the ID of a request that this connection carried once.

--- /dev/null
+++ b/internal/upstream/broken_test.go
@@ -0,0 +1,106 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"celerybank/internal/faultnet"
+	"celerybank/internal/verdict"
+)
+
+const idHeader = "X-Request-Id"
+
+// idDialect matches responses by an ID, as platforms do that have one.
+var idDialect = Dialect{NotExecuted: defaultDialect.NotExecuted,
+	RequestID:  func(req *fasthttp.Request) []byte { return req.Header.Peek(idHeader) },
+	ResponseID: func(resp *fasthttp.Response) []byte { return resp.Header.Peek(idHeader) },
+}
+
+// exchange sends one request with an ID through c.
+func exchange(c *Client, path, id string) (verdict.Verdict, *fasthttp.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var req fasthttp.Request
+	resp := &fasthttp.Response{}
+	req.SetRequestURI("http://x" + path)
+	req.Header.Set(idHeader, id)
+	v, err := c.Do(ctx, &req, resp)
+	return v, resp, err
+}
+
+// withClient runs f in virtual time with a client of an upstream that answers requests by script.
+func withClient(t *testing.T, script map[string]func(net.Conn), f func(*Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := faultnet.New()
+		stop := startRawUpstream(t, network, script)
+		client := NewClient(rawAddr, network.Host("10.0.0.1"), 4, 1<<20, nil).SetDialect(idDialect)
+		f(client)
+		client.CloseIdle()
+		stop()
+	})
+}
+
+// refusalTo is a refusal of the request with an ID; an empty ID is left out.
+func refusalTo(id string) string {
+	if id != "" {
+		id = idHeader + ": " + id + "\r\n"
+	}
+	return "HTTP/1.1 503 Busy\r\n" + id + NotExecutedHeader + ": 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// A faulty upstream writes an earlier refusal once more on a kept connection while it runs the next request. That
+// request must not count as not run: its caller would be told so, or it would run again elsewhere.
+func TestRepeatedRefusalIsNoProofForTheNextRequest(t *testing.T) {
+	for name, tc := range map[string]struct{ refused, next, repeated string }{
+		"of another request":              {"a", "b", "a"},
+		"without an ID":                   {"", "b", ""},
+		"that had an ID, without it":      {"a", "b", ""},
+		"of the same request, sent again": {"a", "a", "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			refusedOn := map[net.Conn]bool{}
+			script := map[string]func(net.Conn){
+				"/refused": func(c net.Conn) {
+					mu.Lock()
+					refusedOn[c] = true
+					mu.Unlock()
+					writeText(refusalTo(tc.refused))(c)
+				},
+				"/run": func(c net.Conn) {
+					time.Sleep(10 * time.Millisecond) // the request runs
+					mu.Lock()
+					if refusedOn[c] {
+						writeText(refusalTo(tc.repeated))(c)
+					}
+					mu.Unlock()
+					time.Sleep(90 * time.Millisecond)
+					writeText("HTTP/1.1 200 OK\r\n" + idHeader + ": " + tc.next + "\r\nContent-Length: 2\r\n\r\nok")(c)
+				},
+			}
+			withClient(t, script, func(c *Client) {
+				_, _, _ = exchange(c, "/refused", "a")
+				if v, resp, err := exchange(c, "/run", tc.next); v == verdict.NotRun {
+					t.Errorf("got verdict %v, status %d, error %v for a request that ran", v, resp.StatusCode(), err)
+				}
+			})
+		})
+	}
+}
+
+// A refusal on a fresh connection is proof, with the ID of its request.
+func TestRefusalOfTheRequestIsProof(t *testing.T) {
+	withClient(t, map[string]func(net.Conn){"/refused": writeText(refusalTo("a"))}, func(c *Client) {
+		for range 3 {
+			if v, _, err := exchange(c, "/refused", "a"); v != verdict.NotRun || err != nil {
+				t.Errorf("got verdict %v, error %v, want %v", v, err, verdict.NotRun)
+			}
+		}
+	})
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
@@ -31,14 +32,46 @@
 type Dialect struct {
 	// NotExecuted reports whether a response says that the request was not executed.
 	NotExecuted func(*fasthttp.Response) bool
-	// Matches reports whether a response belongs to the request; nil accepts every response. One that
-	// does not is a late response of an earlier exchange and is dropped.
-	Matches func(*fasthttp.Request, *fasthttp.Response) bool
+	// RequestID and ResponseID return the ID of a request and of the request that a response belongs to; an
+	// empty ID is unknown. They are nil for protocols without IDs.
+	RequestID  func(*fasthttp.Request) []byte
+	ResponseID func(*fasthttp.Response) []byte
 }
 
 // defaultDialect reads NotExecutedHeader and accepts every response.
 var defaultDialect = Dialect{NotExecuted: func(resp *fasthttp.Response) bool { return len(resp.Header.Peek(NotExecutedHeader)) > 0 }}
 
+// match says whether a response belongs to a request.
+type match uint8
+
+const (
+	matchSame match = iota
+	// matchUnknown means that the response has no ID.
+	matchUnknown
+	matchOther
+)
+
+func (d *Dialect) match(req *fasthttp.Request, resp *fasthttp.Response) match {
+	if d.RequestID == nil {
+		return matchSame
+	}
+	switch want, got := d.RequestID(req), d.ResponseID(resp); {
+	case string(want) == string(got) || len(want) == 0:
+		return matchSame
+	case len(got) == 0:
+		return matchUnknown
+	}
+	return matchOther
+}
+
+// requestHash returns the hash of a request's ID, 0 if it has none.
+func (d *Dialect) requestHash(req *fasthttp.Request) uint64 {
+	if d.RequestID == nil || len(d.RequestID(req)) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(d.RequestID(req))
+}
+
 // maxMismatched bounds the late responses of earlier exchanges that are dropped before the one that
 // belongs to the request.
 const maxMismatched = 2
@@ -46,6 +79,9 @@
 // ErrMismatchedResponse reports a connection that delivers responses to other requests.
 var ErrMismatchedResponse = errors.New("upstream sent responses to other requests")
 
+// ErrUnproven reports a response that may be that of an earlier request on the same connection.
+var ErrUnproven = errors.New("response does not name its request")
+
 // ErrTooLarge reports a response whose head or body exceeds the size limit.
 var ErrTooLarge = errors.New("response exceeds the size limit")
 
@@ -101,8 +137,18 @@
 	w *bufio.Writer
 	// lastUsed is when the connection was last acquired for a request or released.
 	lastUsed time.Time
+	// reused is set once a response was read.
+	reused bool
+	// refused are the hashes of the requests that the upstream refused on this connection. A faulty upstream
+	// may write a refusal twice, so that none of them is sent on this connection again.
+	refused []uint64
+	// spoiled is set when a response was not identified as that of its request.
+	spoiled bool
 }
 
+// maxRefused is the number of refusals after which a connection is not reused.
+const maxRefused = 32
+
 // NewClient returns a client of the upstream at addr with at most maxConns connections and response
 // bodies of at most maxBody bytes. onRestart may be nil.
 func NewClient(addr string, dialer Dialer, maxConns, maxBody int, onRestart func()) *Client {
@@ -135,7 +181,7 @@
 	case <-ctx.Done():
 		return verdict.NotRun, ctx.Err()
 	}
-	conn, err := c.acquire(ctx)
+	conn, err := c.acquire(ctx, c.dialect.requestHash(req))
 	if err != nil {
 		return verdict.NotRun, err
 	}
@@ -151,9 +197,9 @@
 	v, err := c.exchange(ctx, conn, req, resp)
 	inTime := stop()
 	switch {
-	case inTime && err == nil && !resp.ConnectionClose() && conn.r.Buffered() == 0:
+	case inTime && err == nil && !resp.ConnectionClose() && conn.reusable():
 		c.release(conn)
-	case inTime && err != nil && !errors.Is(err, ErrTooLarge):
+	case inTime && err != nil && !errors.Is(err, ErrTooLarge) && !errors.Is(err, ErrUnproven):
 		c.closeBroken(conn)
 	default:
 		c.discard(conn)
@@ -183,17 +229,31 @@
 		if v, err := c.readResponse(conn, req, resp); err != nil {
 			return v, err
 		}
-		if c.dialect.Matches == nil || c.dialect.Matches(req, resp) {
-			if c.dialect.NotExecuted(resp) {
-				return verdict.NotRun, nil
-			}
-			return verdict.Ran, nil
+		m := c.dialect.match(req, resp)
+		fresh := !conn.reused
+		conn.reused, conn.spoiled = true, conn.spoiled || m != matchSame
+		if m != matchOther {
+			return c.verdict(conn, req, resp, m == matchSame || fresh)
 		}
 		resp.Reset()
 	}
 	return verdict.MayHaveRun, ErrMismatchedResponse
 }
 
+// verdict returns the verdict of a response. identified is set if it is certainly that of the request.
+func (c *Client) verdict(conn *clientConn, req *fasthttp.Request, resp *fasthttp.Response, identified bool) (verdict.Verdict, error) {
+	switch {
+	case !identified:
+		return verdict.MayHaveRun, ErrUnproven
+	case !c.dialect.NotExecuted(resp):
+		return verdict.Ran, nil
+	}
+	if h := c.dialect.requestHash(req); h != 0 {
+		conn.refused = append(conn.refused, h)
+	}
+	return verdict.NotRun, nil
+}
+
 // readResponse reads one complete response.
 func (c *Client) readResponse(conn *clientConn, req *fasthttp.Request, resp *fasthttp.Response) (verdict.Verdict, error) {
 	resp.SkipBody = req.Header.IsHead()
@@ -208,8 +268,14 @@
 	return verdict.Ran, nil
 }
 
-// acquire returns an idle connection that is still open, or a new one if there is none.
-func (c *Client) acquire(ctx context.Context) (*clientConn, error) {
+// reusable reports whether the connection may carry another request.
+func (c *clientConn) reusable() bool {
+	return c.r.Buffered() == 0 && !c.spoiled && len(c.refused) < maxRefused
+}
+
+// acquire returns an idle connection that is still open, or a new one if there is none. It closes
+// connections on which the request with this hash was refused.
+func (c *Client) acquire(ctx context.Context, request uint64) (*clientConn, error) {
 	limit := maxIdle
 	if ctx.Value(freshKey{}) != nil {
 		limit = MaxFreshIdle
@@ -220,7 +286,7 @@
 		case idle >= limit && limit < maxIdle && idle < maxIdle:
 			c.putBack(conn) // the list ends with the last used one, so all others are too old as well
 			return c.connect(ctx)
-		case idle >= maxIdle:
+		case idle >= maxIdle, request != 0 && slices.Contains(conn.refused, request):
 			c.discard(conn)
 		case !isOpen(conn):
 			c.closeBroken(conn)
