--- a/internal/orders/exchange.go
+++ b/internal/orders/exchange.go
@@ -10,6 +10,7 @@
 
 	"celerybank/internal/duration"
 	"celerybank/internal/events"
+	"celerybank/internal/gossip"
 )
 
 // Update advertises the position up to which the sender has the records. It carries the new records
@@ -74,15 +75,15 @@
 
 // randomZonePeers returns the addresses of up to n random other nodes of the own zone.
 func (f *Follower) randomZonePeers(n int) []string {
-	sameZone, _ := f.peersByZone()
+	sameZone, _ := f.peersByZone(f.members.Alive())
 	rand.Shuffle(len(sameZone), func(i, j int) { sameZone[i], sameZone[j] = sameZone[j], sameZone[i] })
 	return sameZone[:min(n, len(sameZone))]
 }
 
-// peersByZone returns the addresses of the other alive nodes: those of the own zone and those of other zones.
-func (f *Follower) peersByZone() (sameZone, otherZones []string) {
+// peersByZone returns the addresses of the alive nodes but this one: those of the own zone and those of other zones.
+func (f *Follower) peersByZone(alive []gossip.Member) (sameZone, otherZones []string) {
 	self := f.members.Self()
-	for _, m := range f.members.Alive() {
+	for _, m := range alive {
 		switch {
 		case m.Addr == self.Addr:
 		case m.Zone == self.Zone:
@@ -101,9 +102,10 @@
 	var exchanges conc.WaitGroup
 	defer exchanges.Wait()
 	for turn := rand.IntN(crossZonePeriod); duration.Sleep(ctx, f.repairPause()); turn++ {
-		sameZone, otherZones := f.peersByZone()
+		alive := f.members.Alive() // a copy, once for each exchange
+		sameZone, otherZones := f.peersByZone(alive)
 		f.contacts.keep(sameZone, otherZones)
-		checked := f.readersToCheck()
+		checked := f.readersToCheck(alive)
 		for _, addr := range checked {
 			exchanges.Go(func() { f.pull(ctx, addr) })
 		}
--- a/internal/orders/follow.go
+++ b/internal/orders/follow.go
@@ -273,7 +273,7 @@
 // alive nodes of the zone by rendezvous hashing (Thaler and Ravishankar 1998), without those that did
 // not respond to this node.
 func (f *Follower) IsReader() bool {
-	above, readers := f.rankedAbove()
+	above, readers := f.rankedAbove(f.members.Alive())
 	for _, addr := range above {
 		if !f.contacts.failed(addr) {
 			readers--
@@ -282,12 +282,12 @@
 	return readers > 0
 }
 
-// rankedAbove returns the alive nodes of the own zone that rank above this node as readers, the highest
-// first, and the number of readers that the zone has.
-func (f *Follower) rankedAbove() (above []string, readers int) {
+// rankedAbove returns those of the alive nodes that are of the own zone and rank above this node as
+// readers, in no order, and the number of readers that the zone has.
+func (f *Follower) rankedAbove(alive []gossip.Member) (above []string, readers int) {
 	self := f.members.Self()
 	mine, nodes := readerRank(self.Addr), 0
-	for _, m := range f.members.Alive() {
+	for _, m := range alive {
 		if m.Zone != self.Zone {
 			continue
 		}
@@ -296,7 +296,6 @@
 			above = append(above, m.Addr)
 		}
 	}
-	slices.SortFunc(above, func(a, b string) int { return cmp.Compare(readerRank(b), readerRank(a)) })
 	if nodes >= singleReaderZoneSize {
 		return above, 1
 	}
@@ -306,11 +305,12 @@
 // readersToCheck returns the nodes of the own zone on which the role of this node depends: those ranked
 // above it, down to as many responding ones as the zone has readers. It is empty for nodes that are no
 // candidates.
-func (f *Follower) readersToCheck() []string {
-	above, readers := f.rankedAbove()
+func (f *Follower) readersToCheck(alive []gossip.Member) []string {
+	above, readers := f.rankedAbove(alive)
 	if len(above) >= readerCandidates {
 		return nil
 	}
+	slices.SortFunc(above, func(a, b string) int { return cmp.Compare(readerRank(b), readerRank(a)) })
 	for i, addr := range above {
 		if !f.contacts.failed(addr) {
 			readers--
