--- a/internal/orders/follow.go
+++ b/internal/orders/follow.go
@@ -39,8 +39,8 @@
 	// roleCheckInterval is the mean time between checks whether this node is a reader.
 	roleCheckInterval = 300 * time.Millisecond
 	// readerTimeout is the time without any sign of a working reader after which every node reads the
-	// topic itself. It is longer than a long poll and its retry.
-	readerTimeout = longPollTimeout + 2*time.Second
+	// topic itself. It exceeds usual outages of the store, as all nodes together load it heavily.
+	readerTimeout = 10 * time.Second
 	// readerCandidates is the number of nodes of a zone, by rank, that take the place of a reader as
 	// soon as it does not respond to them. The others wait for the failure detector.
 	readerCandidates = 12
