distribution, mesh: order versions by the log's era and offset

What operators saw on the product's own node: a configuration that they published after the log came back from an older copy was not in force, since its offset had been assigned before.

Cause: the version was the offset. Entries at or below a node's version were skipped, and a reader waited at an offset that the restored log had not reached.

Change: a version has the era in its upper bits and only grows. A reader that finds a later era replays the log and installs the result; what the log lost stays in force until it is written again, for 5 s at most. prev is compared by offset.

--- a/internal/claims/coordinator.go
+++ b/internal/claims/coordinator.go
@@ -255,10 +255,11 @@
 	if err != nil {
 		return false
 	}
-	c.events.Emit(events.ClaimSeatsAppended, events.Fields{"groups": len(change.Items), "op": change.Items[0].Op, "version": offset})
+	version := configlog.VersionAt(configlog.EraOf(c.source.State().Version), offset)
+	c.events.Emit(events.ClaimSeatsAppended, events.Fields{"groups": len(change.Items), "op": change.Items[0].Op, "version": version})
 	for {
 		changed := c.source.Changed()
-		if c.source.State().Version >= offset {
+		if c.source.State().Version >= version {
 			return true
 		}
 		select {
--- a/internal/configlog/log.go
+++ b/internal/configlog/log.go
@@ -24,7 +24,8 @@
 	HelloStream = "hello"
 )
 
-// Entry is one record with its offset in the stream. Offsets start at 1.
+// Entry is one record with its offset in the stream. Offsets start at 1. Between nodes and in the
+// fold, Offset is the version.
 type Entry struct {
 	Offset int64  `json:"offset" msgpack:"o"`
 	Data   []byte `json:"data" msgpack:"d"`
@@ -32,6 +33,9 @@
 
 // Page is the result of a read.
 type Page struct {
+	// Era counts the restorations of the log from an older copy, after which it assigns offsets
+	// again; 0 if the log does not tell.
+	Era int64 `json:"era,omitempty"`
 	// First is the offset of the oldest record that the log retains. A read from a lower
 	// offset misses the records before First.
 	First int64 `json:"first"`
@@ -61,8 +65,9 @@
 	Kind Kind   `json:"kind"`
 	// Subject is what the record changes, such as "config" or "zone/ragusa".
 	Subject string `json:"subject"`
-	// Prev is the offset of the record of the same subject that this one supersedes, 0 for
-	// none. Every reader ignores a record whose Prev is no longer current.
+	// Prev is the version of the record of the same subject that this one supersedes, 0 for
+	// none. Every reader ignores a record whose Prev is no longer current; it compares offsets,
+	// since a record keeps its offset when the log is restored.
 	Prev   int64           `json:"prev"`
 	Author string          `json:"author"`
 	Time   time.Time       `json:"time"`
--- a/internal/configlog/memory.go
+++ b/internal/configlog/memory.go
@@ -215,6 +215,7 @@
 	}
 	m.mu.Lock()
 	m.stats.Reads[stream]++
+	era := m.era
 	for {
 		if m.faults.Outage {
 			m.mu.Unlock()
@@ -223,7 +224,7 @@
 		p := m.page(stream, from, limit)
 		changed := m.changed
 		m.mu.Unlock()
-		if len(p.Entries) > 0 || deadline == nil {
+		if len(p.Entries) > 0 || deadline == nil || p.Era != era {
 			return p, nil
 		}
 		select {
@@ -239,7 +240,7 @@
 
 func (m *Memory) page(stream string, from int64, limit int) Page {
 	s := m.stream(stream)
-	p := Page{First: s.first, Next: s.first + int64(len(s.entries))}
+	p := Page{Era: m.era, First: s.first, Next: s.first + int64(len(s.entries))}
 	start := max(from, s.first)
 	for o := start; o < p.Next && len(p.Entries) < limit; o++ {
 		p.Entries = append(p.Entries, s.entries[o-s.first])
--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -57,6 +57,11 @@
 	hints          chan hint
 	inflight       chan struct{}
 
+	// restoredEra is the last era of the log that began while this node read it, and restoredAt when
+	// this node noticed. Used by follow only.
+	restoredEra int64
+	restoredAt  time.Time
+
 	packMu        sync.Mutex
 	packedVersion int64
 	packedBytes   []byte
--- a/internal/distribution/follow.go
+++ b/internal/distribution/follow.go
@@ -10,6 +10,7 @@
 	"celerybank/internal/configlog"
 	"celerybank/internal/duration"
 	"celerybank/internal/events"
+	"celerybank/internal/mesh"
 	"celerybank/internal/snapshot"
 )
 
@@ -33,6 +34,10 @@
 	maxRetryDelay = 1500 * time.Millisecond
 	// roleCheckInterval is the mean time between checks whether this node is a log reader.
 	roleCheckInterval = time.Second
+	// lostRetention is how long records that a restored log has lost stay in force unless they are
+	// written again. A longer time keeps a lost withdrawal in force for longer, a shorter one lets an
+	// older configuration come back while an operator still writes.
+	lostRetention = 5 * time.Second
 	// readerSilenceLimit is the time without a sign of any log reader after which a node
 	// reads the log itself, and the minimum time between two such reads.
 	readerSilenceLimit = 30 * time.Second
@@ -103,7 +108,7 @@
 
 // read reads one page of the log, applies it and returns its number of entries.
 func (d *Distributor) read(ctx context.Context, wait time.Duration) (int, error) {
-	from := d.store.State().Version + 1
+	from := configlog.OffsetOf(d.store.State().Version) + 1
 	d.observeReader(time.Now())
 	d.reads.Add(1)
 	readCtx := ctx
@@ -121,10 +126,14 @@
 		return 0, err
 	}
 	d.observeReader(time.Now())
+	if st := d.store.State(); page.Era > configlog.EraOf(st.Version) {
+		return 0, d.adoptEra(ctx, st, page)
+	}
 	if page.Next < from {
 		d.reportLogBehind(page.Next - 1)
 		return 0, errors.New("log head is older than this node's version")
 	}
+	page = page.Versions()
 	if from = d.store.State().Version + 1; page.First > from {
 		return 0, d.restore(ctx, page.First)
 	}
@@ -132,18 +141,40 @@
 	return len(page.Entries), nil
 }
 
+// errLostInForce reports that this node keeps a state of which the log has lost records.
+var errLostInForce = errors.New("log came back from an older copy; its lost records stay in force for now")
+
+// adoptEra installs the state of a log that came back from an older copy. What the log lost stays in
+// force until all of it is written again, for at most lostRetention; then the log decides.
+func (d *Distributor) adoptEra(ctx context.Context, st *mesh.State, page configlog.Page) error {
+	if d.restoredEra != page.Era {
+		d.restoredEra, d.restoredAt = page.Era, time.Now()
+		d.events.Emit(events.StoreRestored, events.Fields{"era": page.Era, "before": configlog.EraOf(st.Version), "next": page.Next, "position": configlog.OffsetOf(st.Version)})
+	}
+	restored, err := snapshot.Replay(ctx, d.log, mesh.Empty(), nil)
+	if err != nil {
+		return err
+	}
+	if time.Since(d.restoredAt) < lostRetention && len(st.LostSubjects(restored)) > 0 {
+		return errLostInForce
+	}
+	d.store.Install(restored, "log")
+	return nil
+}
+
 // restore installs the newest snapshot in the log. It is needed when the log has dropped
-// records that this node has not applied; first is the oldest offset that the log retains.
+// records that this node has not applied; first is the oldest version that the log retains.
 func (d *Distributor) restore(ctx context.Context, first int64) error {
 	d.events.Emit(events.PrefixLost, events.Fields{"version": d.store.State().Version, "first": first})
 	snap, err := snapshot.Newest(ctx, d.log)
 	if err != nil {
 		return err
 	}
-	if snap.State.Version+1 < first {
-		return errors.Errorf("newest snapshot has version %d, but the log starts at %d", snap.State.Version, first)
+	st := snap.State.InEra(configlog.EraOf(first))
+	if st.Version+1 < first {
+		return errors.Errorf("newest snapshot has version %d, but the log starts at %d", st.Version, first)
 	}
-	d.store.Install(snap.State, "log")
+	d.store.Install(st, "log")
 	return nil
 }
 
--- a/internal/distribution/head.go
+++ b/internal/distribution/head.go
@@ -99,5 +99,5 @@
 	defer cancel()
 	h.reads.Add(1)
 	page, err := h.log.Read(ctx, configlog.MeshStream, math.MaxInt64, 1, 0)
-	return headResult{page.Next - 1, err}
+	return headResult{configlog.VersionAt(page.Era, page.Next-1), err}
 }
--- a/internal/distribution/messages.go
+++ b/internal/distribution/messages.go
@@ -53,7 +53,7 @@
 // HeadArgs are the empty arguments of the method Head.
 type HeadArgs struct{}
 
-// HeadReply has the offset of the log's newest record. Down means that the log could not
+// HeadReply has the version of the log's newest record. Down means that the log could not
 // be read. NotReader means that the called node is no log reader; Readers are then the
 // addresses of the nodes that it considers to be the log readers of its zone.
 type HeadReply struct {
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -17,15 +17,16 @@
 // State is the agreed state at one offset of the log. It is immutable: Apply returns a new State
 // that shares the unchanged parts.
 type State struct {
-	// Version is the offset of the newest entry applied. It is the configuration version.
+	// Version is the version of the newest entry applied (configlog.VersionAt). It is the
+	// configuration version. All other versions in the state are of the same kind.
 	Version int64 `json:"version"`
 	// Chain is a hash over all entries up to Version; it is equal on all nodes at the same version.
 	Chain uint64 `json:"chain"`
-	// ConfigVersion is the offset of the newest record that took effect.
+	// ConfigVersion is the version of the newest record that took effect.
 	ConfigVersion int64 `json:"config_version"`
-	// Current maps a subject to the offset of its newest record that took effect.
+	// Current maps a subject to the version of its newest record that took effect.
 	Current map[string]int64 `json:"current"`
-	// IDs maps the ids of recent records to their offsets.
+	// IDs maps the ids of recent records to their versions.
 	IDs IDs `json:"ids"`
 
 	Inventory inventory.Inventory `json:"inventory"`
@@ -77,7 +78,7 @@
 
 func (o Outcome) String() string { return outcomeNames[o] }
 
-// ErrGap reports an entry whose offset is not the next one after the version of the state.
+// ErrGap reports an entry whose version is not the next one after the version of the state.
 var ErrGap = errors.New("entry does not follow the state")
 
 // Result describes the effect of one entry. Reason is set for Refused and Malformed.
@@ -91,7 +92,7 @@
 // Every other fault is an Outcome and not an error, because all readers must skip the entry alike.
 func (s *State) Apply(e configlog.Entry) (*State, Result, error) {
 	if e.Offset != s.Version+1 {
-		return s, Result{}, errors.Wrapf(ErrGap, "offset %d after version %d", e.Offset, s.Version)
+		return s, Result{}, errors.Wrapf(ErrGap, "entry %d after version %d", e.Offset, s.Version)
 	}
 	next := *s
 	next.Version = e.Offset
@@ -104,7 +105,7 @@
 		return &next, Result{Outcome: Repeated, Record: rec}, nil
 	}
 	next.IDs = s.IDs.with(rec.ID, e.Offset)
-	if rec.Kind != KindSeats && rec.Prev != s.Current[rec.Subject] {
+	if rec.Kind != KindSeats && configlog.OffsetOf(rec.Prev) != configlog.OffsetOf(s.Current[rec.Subject]) {
 		return &next, Result{Outcome: Superseded, Record: rec}, nil
 	}
 	effect := next
--- a/internal/operator/log.go
+++ b/internal/operator/log.go
@@ -16,9 +16,6 @@
 	"celerybank/internal/snapshot"
 )
 
-// entriesPerRead is the maximum number of entries that one read of the log returns.
-const entriesPerRead = 1000
-
 // confirmTimeout bounds the time for which the append of one record is retried until it is confirmed.
 const confirmTimeout = 30 * time.Second
 
@@ -53,48 +50,9 @@
 	return c.catchUp(ctx, mesh.Empty(), nil)
 }
 
-// catchUp applies the records that follow st and returns the newest state. It calls observe, unless
-// nil, with each result. If the log has dropped the record after st, catchUp continues from the
-// newest snapshot, and observe misses the records up to it.
+// catchUp applies the records that follow st; see snapshot.Replay.
 func (c *LogClient) catchUp(ctx context.Context, st *mesh.State, observe func(mesh.Result)) (*mesh.State, error) {
-	for {
-		page, err := c.log.Read(ctx, configlog.MeshStream, st.Version+1, entriesPerRead, 0)
-		if err != nil {
-			return nil, err
-		}
-		if page.First > st.Version+1 {
-			if st, err = c.restore(ctx, page.First); err != nil {
-				return nil, err
-			}
-			continue
-		}
-		for _, e := range page.Entries {
-			next, res, err := st.Apply(e)
-			if err != nil {
-				return nil, err
-			}
-			if observe != nil {
-				observe(res)
-			}
-			st = next
-		}
-		if st.Version >= page.Next-1 {
-			return st, nil
-		}
-	}
-}
-
-// restore returns the state of the newest snapshot. It is an error if records between the snapshot and
-// first, the oldest offset in the log, are missing.
-func (c *LogClient) restore(ctx context.Context, first int64) (*mesh.State, error) {
-	snap, err := snapshot.Newest(ctx, c.log)
-	if err != nil {
-		return nil, err
-	}
-	if snap.State.Version+1 < first {
-		return nil, errors.Errorf("the newest snapshot has version %d, but the log starts at offset %d", snap.State.Version, first)
-	}
-	return snap.State, nil
+	return snapshot.Replay(ctx, c.log, st, observe)
 }
 
 // Publish appends inv and rules as the new configuration and returns the version at which they take
@@ -129,9 +87,9 @@
 }
 
 // AppendAndConfirm appends rec, which was created from the state st, until it is found in the log, and
-// returns its offset. It returns ErrSuperseded or ErrRefused if the record has no effect, and
-// ErrOutcomeUnknown if its effect is unknown. The append may be retried after a lost reply, because a
-// record whose ID was read before has no effect.
+// returns its version. It returns ErrSuperseded or ErrRefused if the record has no effect, and
+// ErrOutcomeUnknown if its effect is unknown. The append may be retried after a lost reply, and after the
+// log came back from a copy without it, because a record whose ID was read before has no effect.
 func (c *LogClient) AppendAndConfirm(ctx context.Context, st *mesh.State, rec configlog.Record) (int64, error) {
 	data, err := json.Marshal(rec)
 	if err != nil {
@@ -152,7 +110,8 @@
 				return offset, outcomeError(found, next.Current[rec.Subject] == offset)
 			}
 		}
-		if appendErr == nil && err == nil {
+		restored := err == nil && configlog.EraOf(next.Version) > configlog.EraOf(st.Version)
+		if appendErr == nil && err == nil && !restored {
 			return 0, errors.New("the log confirmed the append, but a later read does not contain the record")
 		}
 		if !duration.Sleep(ctx, delay) {
--- a/internal/operator/transfer.go
+++ b/internal/operator/transfer.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	own, err := c.readAll(ctx, configlog.MeshStream, st.Version)
+	own, err := c.readAll(ctx, configlog.MeshStream, configlog.OffsetOf(st.Version))
 	if err != nil {
 		return nil, err
 	}
@@ -86,6 +86,9 @@
 	return json.MarshalIndent(exportFile{exportFormat, sum, body}, "", " ")
 }
 
+// entriesPerRead is the maximum number of entries that one read of the log returns.
+const entriesPerRead = 1000
+
 // readAll returns the entries that a stream retains, up to the offset last, or all if last is 0.
 func (c *LogClient) readAll(ctx context.Context, stream string, last int64) ([]configlog.Entry, error) {
 	var out []configlog.Entry
--- a/internal/snapshot/writer.go
+++ b/internal/snapshot/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -79,10 +80,10 @@
 	if err == nil {
 		w.version, w.createdAt = found.State.Version, found.CreatedAt
 	}
-	if !w.due() {
+	st, now := w.source.State(), time.Now()
+	if !w.due() || !w.sameEra(ctx, st) {
 		return
 	}
-	st, now := w.source.State(), time.Now()
 	bytes, err := Append(ctx, w.log, st, now)
 	if err != nil {
 		w.events.Emit(events.SnapshotFailed, events.Fields{"version": st.Version, "reason": err.Error()})
@@ -91,3 +92,10 @@
 	w.version, w.createdAt = st.Version, now
 	w.events.Emit(events.SnapshotWritten, events.Fields{"version": st.Version, "bytes": bytes})
 }
+
+// sameEra reports whether the log is in the era of st. A snapshot with records that a restored log has
+// lost would hide the records that replaced them.
+func (w *Writer) sameEra(ctx context.Context, st *mesh.State) bool {
+	page, err := w.log.Read(ctx, configlog.MeshStream, math.MaxInt64, 1, 0)
+	return err == nil && (page.Era == 0 || page.Era == configlog.EraOf(st.Version))
+}
