gossip: push to partners, and count all messages against the budget

Cause: updates went to random members, so that a node had connections to all others; TestMassRestartStaysWithinTheBudget broke its bound (up to 7860 bytes/s of 6000) since probes, empty replies and the names in a busy reply were not counted, and a page could overdraw the budget by 48 KB. Traced by bytes for each method of the busiest node: 3.8 KB/s of replies to pulls, where 2.5 were allowed.

Probes, replies and referrals are charged; pages have 16 KB before compression; a burst is 3 s. Random members and their number are taken without copying the list.

--- a/internal/gossip/alive.go
+++ b/internal/gossip/alive.go
@@ -36,6 +36,9 @@
 	return m.list.Load().members
 }
 
+// AliveCount returns the number of live members, including suspected ones and this node.
+func (m *Members) AliveCount() int { return int(m.alive.Load()) }
+
 // AliveLag returns the longest time after which Alive reflects a change.
 func (m *Members) AliveLag() time.Duration { return maxAliveLag(len(m.list.Load().members)) }
 
@@ -92,6 +95,7 @@
 	switch {
 	case e.live():
 		z.alive += n
+		m.alive.Add(int64(n))
 		z.digest ^= e.hash
 		m.digest.flip(memberBucket(e.hash), memberHash(e))
 	case e.Status == Dead:
@@ -111,16 +115,12 @@
 const sampleTries = 24
 
 // randomMember returns the address of a random live member other than this node that
-// accept allows, or "" if sampleTries draws find none.
+// accept allows, or "" if sampleTries draws find none. m.mu is held.
 func (m *Members) randomMember(accept func(*Member) bool) string {
-	alive := m.Alive()
-	if len(alive) == 0 {
-		return "" // this node has left and no other member is live
-	}
 	for range sampleTries {
-		x := &alive[m.random(len(alive))]
-		if x.Addr != m.cfg.Self.Addr && accept(x) {
-			return x.Addr
+		e := m.order[m.rng.IntN(len(m.order))]
+		if e.live() && e.Addr != m.self.Addr && accept(&e.Member) {
+			return e.Addr
 		}
 	}
 	return ""
@@ -136,6 +136,8 @@
 // starting with the first, is in this node's zone if one is found there.
 func (m *Members) sample(n int) []string {
 	out := make([]string, 0, n)
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	unsampled := func(x *Member) bool { return !slices.Contains(out, x.Addr) }
 	sameZone := func(x *Member) bool { return x.Zone == m.cfg.Self.Zone && unsampled(x) }
 	for len(out) < n {
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -63,6 +63,8 @@
 	digest     digest
 	zones      map[string]*zoneView
 	prober     prober
+	partners   partners
+	alive      atomic.Int64 // number of live members
 	rng        *rand.Rand
 	memberSubs []func(Member)
 	changeSubs []func(old, new Member)
--- a/internal/gossip/metrics.go
+++ b/internal/gossip/metrics.go
@@ -34,7 +34,7 @@
 }
 
 func (c *counters) watch(m *Members) {
-	c.set.NewGauge("celerybank_members_alive", func() float64 { return float64(len(m.Alive())) })
+	c.set.NewGauge("celerybank_members_alive", func() float64 { return float64(m.AliveCount()) })
 	c.set.NewGauge("celerybank_members_dead", func() float64 {
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/internal/gossip/push.go
+++ b/internal/gossip/push.go
@@ -36,6 +36,11 @@
 	memberSize  = 60
 	// messageOverhead is the size of a message between nodes without its updates.
 	messageOverhead = 48
+	// probeSize is the size of a message with the sender's entry and without updates, replySize that of an
+	// empty reply, addrSize that of an address.
+	probeSize = 130
+	replySize = 24
+	addrSize  = 18
 )
 
 // Fractions of Config.BytesPerSecond; the rest is for configuration and claims.
@@ -43,7 +48,7 @@
 	pushShare   = 0.20
 	repairShare = 0.35
 	// burstSeconds is the capacity of a limiter, in seconds of its rate.
-	burstSeconds = 4
+	burstSeconds = 3
 )
 
 // newLimiter returns a limiter of share*bytesPerSecond bytes per second. bytesPerSecond 0
@@ -56,6 +61,14 @@
 	return rate.NewLimiter(rate.Limit(r), int(burstSeconds*r))
 }
 
+// charge takes n bytes that are sent in any case from l, unless it is overdrawn: then they only delay
+// what can wait.
+func charge(l *rate.Limiter, n int) {
+	if !overdrawn(l) {
+		consume(l, n)
+	}
+}
+
 // consume takes n bytes from l; the balance may become negative.
 func consume(l *rate.Limiter, n int) {
 	if l.Limit() == rate.Inf {
@@ -123,9 +136,10 @@
 	return u.encode()
 }
 
-// piggyback returns a payload for a ping or its ack, nil if the push budget is used up.
-// m.mu is held.
+// piggyback returns a payload for a ping or its ack, nil if the push budget is used up. It charges
+// the budget for both. m.mu is held.
 func (m *Members) piggyback() []byte {
+	charge(m.push, probeSize)
 	if !hasBudget(m.push) {
 		return nil
 	}
@@ -169,7 +183,7 @@
 	}
 }
 
-// pushLoop sends queued updates to random members, one round per pushInterval, while
+// pushLoop sends queued updates to this node's partners, one round per pushInterval, while
 // there are any.
 func (m *Members) pushLoop(ctx context.Context) {
 	for {
@@ -186,13 +200,13 @@
 	}
 }
 
-// pushRound sends one payload to pushFanout members and reports whether another round is
+// pushRound sends one payload to pushFanout partners and reports whether another round is
 // needed.
 func (m *Members) pushRound(ctx context.Context) bool {
 	if !hasBudget(m.push) {
 		return true
 	}
-	peers := m.sample(pushFanout)
+	peers := m.nextPartners(pushFanout)
 	if len(peers) == 0 {
 		return false
 	}
--- a/internal/gossip/repair.go
+++ b/internal/gossip/repair.go
@@ -8,8 +8,8 @@
 // Anti-entropy: members compare digests and pull the updates that pushes missed.
 const (
 	// pageBytes is the size before compression from which a page of members is complete;
-	// its last bucket may exceed it.
-	pageBytes   = 48 << 10
+	// its last bucket may exceed it. A page may overdraw the repair budget by its size.
+	pageBytes   = 16 << 10
 	pullTimeout = 2 * time.Second
 	// settleTime is the time since the last update from which a differing digest starts a
 	// repair: before that, updates in transit may explain the difference.
@@ -99,7 +99,11 @@
 			byBucket[b] = append(byBucket[b], e)
 		}
 	}
-	size := 0
+	size, members := 0, 0
+	for _, bucket := range byBucket {
+		members += len(bucket)
+	}
+	u.Members = make([]memberWire, 0, min(members, pageBytes/memberSize))
 	for b := max(start, 0); b < memberBuckets; b++ {
 		if size > pageBytes {
 			return u, b
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -53,6 +53,7 @@
 // Push applies the sender's updates.
 func (s *Service) Push(args *Push, _ *Empty) error {
 	s.members.mergePayload(args.Updates, true)
+	charge(s.members.push, replySize)
 	return nil
 }
 
@@ -86,8 +87,9 @@
 	m.mu.Unlock()
 	m.wakePush()
 	reply.Updates = u.encode()
-	consume(m.repair, len(reply.Updates)+messageOverhead)
-	m.metrics.repairSent.Add(len(reply.Updates) + messageOverhead)
+	size := len(reply.Updates) + probeSize + len(reply.Peers)*addrSize
+	consume(m.repair, size)
+	m.metrics.repairSent.Add(size)
 	return nil
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -61,7 +61,7 @@
 
 // readBufferSize is the size of each connection's read buffer in bytes. It is small because a node
 // holds many connections.
-const readBufferSize = 4 << 10
+const readBufferSize = 2 << 10
 
 func newCodec(conn net.Conn, clock *events.Clock, onBytes func(string, bool, int)) *codec {
 	if onBytes == nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -63,7 +63,7 @@
 const (
 	dialTimeout = 300 * time.Millisecond
 	// idleTimeout closes connections without calls, to bound the number of open connections.
-	idleTimeout = 60 * time.Second
+	idleTimeout = 20 * time.Second
 	// serverIdleTimeout closes accepted connections whose peer has gone without closing them.
 	serverIdleTimeout = 2 * idleTimeout
 )
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -144,7 +144,7 @@
 		if _, err := p.say("a", 0, time.Second); err != nil {
 			t.Fatal(err)
 		}
-		for _, idle := range []time.Duration{0, 30 * time.Second} {
+		for _, idle := range []time.Duration{0, idleTimeout / 2} {
 			time.Sleep(idle)
 			p.net.Blackhole("10.0.0.1", "10.0.0.2")
 			start := time.Now()
--- a/internal/sidecar/hosts.go
+++ b/internal/sidecar/hosts.go
@@ -34,6 +34,7 @@
 // membership is the part of gossip.Members that discovery uses.
 type membership interface {
 	Alive() []gossip.Member
+	AliveCount() int
 	Contains(addr string) bool
 	Join(ctx context.Context, addr string) bool
 	SetSeeds(addrs []string)
@@ -79,7 +80,7 @@
 			return nil
 		case <-d.restored:
 		}
-		spread := relistSpread + time.Duration(len(d.members.Alive()))*relistSpreadPerHost
+		spread := relistSpread + time.Duration(d.members.AliveCount())*relistSpreadPerHost
 		for pause := rand.N(spread); duration.Sleep(ctx, pause); pause = retryMin + rand.N(retryMax) {
 			addrs, err := d.hosts.List(ctx)
 			if err == nil && (d.keyInUse(addrs) || d.hosts.Put(ctx, hostKey(d.self), d.self) == nil) {
@@ -123,7 +124,7 @@
 	return nil
 }
 
-func (d *discovery) alone() bool { return len(d.members.Alive()) <= 1 }
+func (d *discovery) alone() bool { return d.members.AliveCount() <= 1 }
 
 // list reads the list of hosts and reports whether that succeeded.
 func (d *discovery) list(ctx context.Context) bool {
--- a/internal/sidecar/hosts_test.go
+++ b/internal/sidecar/hosts_test.go
@@ -63,6 +63,8 @@
 	self string
 }
 
+func (m fakeMembership) AliveCount() int { return len(m.Alive()) }
+
 func (m fakeMembership) Alive() (out []gossip.Member) {
 	m.mesh.mu.Lock()
 	defer m.mesh.mu.Unlock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -107,7 +107,7 @@
 }
 
 // aliveMembers returns the number of alive members, this node included.
-func (n *Node) aliveMembers() int { return len(n.members.Alive()) }
+func (n *Node) aliveMembers() int { return n.members.AliveCount() }
 
 func (n *Node) table() *routes.Table { return n.replica.View().Table }
 
