--- a/internal/orders/contacts.go
+++ b/internal/orders/contacts.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"celerybank/internal/gossip"
 )
 
 // contacts remembers which peers did not respond to this node's last exchange with them. It is this
@@ -41,34 +43,40 @@
 	return c.silent[addr]
 }
 
-// pickDraws is the number of random draws in which pick looks for a peer that responds.
-const pickDraws = 8
-
-// pick returns a random one of the peers, if possible one that responded to the last exchange.
-func (c *contacts) pick(peers []string) (addr string) {
+// pick returns the address of a random one of the nodes that accept allows, if possible of one that responded to the
+// last exchange, or an empty text if there is none. It copies no list, since a node picks often.
+func (c *contacts) pick(nodes []gossip.Member, accept func(*gossip.Member) bool) (addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for range pickDraws {
-		if addr = peers[rand.IntN(len(peers))]; !c.silent[addr] {
-			break
+	silent, responding := 0, 0
+	for i := range nodes {
+		n := &nodes[i]
+		switch {
+		case !accept(n):
+		case !c.silent[n.Addr]:
+			if responding++; rand.IntN(responding) == 0 {
+				addr = n.Addr
+			}
+		case responding == 0:
+			if silent++; rand.IntN(silent) == 0 {
+				addr = n.Addr
+			}
 		}
 	}
 	return addr
 }
 
-// keep forgets all peers but those in the lists.
-func (c *contacts) keep(lists ...[]string) {
+// keep forgets all peers but the nodes.
+func (c *contacts) keep(nodes []gossip.Member) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.silent) == 0 {
 		return
 	}
 	kept := map[string]bool{}
-	for _, list := range lists {
-		for _, addr := range list {
-			if c.silent[addr] {
-				kept[addr] = true
-			}
+	for i := range nodes {
+		if addr := nodes[i].Addr; c.silent[addr] {
+			kept[addr] = true
 		}
 	}
 	c.silent = kept
--- a/internal/orders/exchange.go
+++ b/internal/orders/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -90,24 +91,21 @@
 
 // randomZonePeers returns the addresses of up to n random other nodes of the own zone.
 func (f *Follower) randomZonePeers(n int) []string {
-	sameZone, _ := f.peersByZone(f.members.Alive())
+	var sameZone []string
+	near := f.near(true)
+	for _, m := range f.members.Alive() {
+		if near(&m) {
+			sameZone = append(sameZone, m.Addr)
+		}
+	}
 	rand.Shuffle(len(sameZone), func(i, j int) { sameZone[i], sameZone[j] = sameZone[j], sameZone[i] })
 	return sameZone[:min(n, len(sameZone))]
 }
 
-// peersByZone returns the addresses of the alive nodes but this one: those of the own zone and those of other zones.
-func (f *Follower) peersByZone(alive []gossip.Member) (sameZone, otherZones []string) {
+// near returns a filter of the other nodes that are in the own zone, or that are not.
+func (f *Follower) near(sameZone bool) func(*gossip.Member) bool {
 	self := f.members.Self()
-	for _, m := range alive {
-		switch {
-		case m.Addr == self.Addr:
-		case m.Zone == self.Zone:
-			sameZone = append(sameZone, m.Addr)
-		default:
-			otherZones = append(otherZones, m.Addr)
-		}
-	}
-	return sameZone, otherZones
+	return func(m *gossip.Member) bool { return m.Addr != self.Addr && (m.Zone == self.Zone) == sameZone }
 }
 
 // repair periodically compares positions with peers and pulls missing records. Each time a candidate
@@ -116,19 +114,20 @@
 func (f *Follower) repair(ctx context.Context) {
 	var exchanges conc.WaitGroup
 	defer exchanges.Wait()
+	sameZone, otherZones := f.near(true), f.near(false)
 	for turn := rand.IntN(crossZonePeriod); duration.Sleep(ctx, f.repairPause()); turn++ {
-		alive := f.members.Alive() // a copy, once for each exchange
-		sameZone, otherZones := f.peersByZone(alive)
-		f.contacts.keep(sameZone, otherZones)
+		alive := f.members.Alive()
+		f.contacts.keep(alive)
 		checked := f.readersToCheck(alive)
 		for _, addr := range checked {
 			exchanges.Go(func() { f.pull(ctx, addr) })
 		}
-		if len(checked) == 0 {
-			exchanges.Go(func() { f.pullFromAny(ctx, sameZone) })
+		alone := !slices.ContainsFunc(alive, func(m gossip.Member) bool { return sameZone(&m) })
+		if len(checked) == 0 && !alone {
+			exchanges.Go(func() { f.pullFromAny(ctx, alive, sameZone) })
 		}
-		if turn%crossZonePeriod == 0 || f.outage.ongoing() || len(sameZone) == 0 {
-			exchanges.Go(func() { f.pullFromAny(ctx, otherZones) })
+		if turn%crossZonePeriod == 0 || f.outage.ongoing() || alone {
+			exchanges.Go(func() { f.pullFromAny(ctx, alive, otherZones) })
 		}
 	}
 }
@@ -136,12 +135,15 @@
 // maxExchangeTries is the number of peers that one exchange tries until one responds.
 const maxExchangeTries = 3
 
-// pullFromAny exchanges with a random one of the peers, and with others if it does not respond.
-func (f *Follower) pullFromAny(ctx context.Context, peers []string) {
-	for range min(maxExchangeTries, len(peers)) {
-		if f.pull(ctx, f.contacts.pick(peers)) || ctx.Err() != nil {
-			return
+// pullFromAny exchanges with a random one of the nodes that accept allows, and with others if it does not respond.
+func (f *Follower) pullFromAny(ctx context.Context, nodes []gossip.Member, accept func(*gossip.Member) bool) {
+	last := ""
+	for range maxExchangeTries {
+		addr := f.contacts.pick(nodes, accept)
+		if addr == last || f.pull(ctx, addr) || ctx.Err() != nil {
+			return // an empty address means that there is no node
 		}
+		last = addr
 	}
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -23,8 +23,9 @@
 	busySince atomic.Int64 // Unix nanoseconds from which the calls in flight are watched
 	// relaxed is set while only calls that the peer is known to have received are in flight.
 	relaxed atomic.Bool
-	// verify asks for a ping without a call in flight.
-	verify atomic.Bool
+	// watched is set while a goroutine pings the connection. An idle connection has none, because a node
+	// holds many of them.
+	watched atomic.Bool
 
 	process atomic.Uint64 // of the peer; 0 until the first pong
 	rtt     roundTrip
@@ -35,6 +36,7 @@
 	once   sync.Once
 	closed chan struct{}
 	busy   chan struct{} // receives an element when a call starts on an idle or relaxed connection
+	expiry *time.Timer   // calls Pool.expire; set before ready is closed
 }
 
 func newConn(addr string) *conn {
@@ -42,35 +44,17 @@
 		pong: make(chan struct{}, 1)}
 }
 
-// callStarted counts a call in flight and wakes the watching goroutine if it watches no other closely.
-func (c *conn) callStarted() {
+// callStarted counts a call in flight. It reports whether the caller has to start a goroutine that pings the
+// connection, and wakes one that no longer does so closely.
+func (c *conn) callStarted() (watch bool) {
 	if c.inflight.Add(1) == 1 || c.relaxed.CompareAndSwap(true, false) {
 		c.busySince.Store(time.Now().UnixNano())
-		c.wake()
-	}
-}
-
-func (c *conn) wake() {
-	select {
-	case c.busy <- struct{}{}:
-	default:
-	}
-}
-
-// waitBusy waits for a call to start or for a request to verify the connection. It returns false if the
-// connection is closed first, or if no call starts within idleTimeout. Timers run only while calls are in
-// flight, because a node holds many idle connections.
-func (c *conn) waitBusy() bool {
-	timer := time.NewTimer(idleTimeout)
-	defer timer.Stop()
-	select {
-	case <-c.busy:
-		return true
-	case <-c.closed:
-		return false
-	case <-timer.C:
-		return c.inflight.Load() > 0
+		select {
+		case c.busy <- struct{}{}:
+		default:
+		}
 	}
+	return c.watched.CompareAndSwap(false, true)
 }
 
 // sleep waits for d, or until a call starts that wakes the connection. It returns false if the connection
@@ -98,6 +82,9 @@
 func (c *conn) close() {
 	c.once.Do(func() {
 		close(c.closed)
+		if c.expiry != nil {
+			c.expiry.Stop()
+		}
 		if c.raw != nil {
 			_ = c.raw.Close()
 		}
--- a/internal/peer/detect.go
+++ b/internal/peer/detect.go
@@ -88,19 +88,42 @@
 	r.mean, r.deviation = mean, deviation
 }
 
-// watch pings one connection while calls are in flight, until it is closed, idle or lost, and drops it.
+// watch pings a connection while calls are in flight, and drops it if it is lost or was replaced.
 func (p *Pool) watch(addr string, c *conn) {
-	defer p.drop(addr, c)
-	for c.waitBusy() {
-		if c.verify.Swap(false) && c.inflight.Load() == 0 && !p.alive(addr, c) {
+	for {
+		if !p.watchCalls(addr, c) || !p.isCurrent(addr, c) {
+			p.drop(addr, c)
 			return
 		}
-		if !p.watchCalls(addr, c) || !p.isCurrent(addr, c) {
+		c.watched.Store(false)
+		if c.inflight.Load() == 0 || !c.watched.CompareAndSwap(false, true) {
 			return
 		}
 	}
 }
 
+// verify pings a connection without calls in flight, and drops it if it is lost.
+func (p *Pool) verify(addr string, c *conn) {
+	if !p.alive(addr, c) {
+		p.drop(addr, c)
+		return
+	}
+	p.watch(addr, c)
+}
+
+// expire drops a connection that has been idle for idleTimeout, and otherwise looks again when it may have been.
+func (p *Pool) expire(addr string, c *conn) {
+	left := idleTimeout
+	if c.inflight.Load() == 0 {
+		left = time.Until(c.quietSince().Add(idleTimeout))
+	}
+	if left <= 0 {
+		p.drop(addr, c)
+		return
+	}
+	c.expiry.Reset(left)
+}
+
 // watchCalls pings c until no call is in flight. It returns false if the connection is lost or closed.
 func (p *Pool) watchCalls(addr string, c *conn) bool {
 	pause, replies := pingAfter, c.replies.Load()
@@ -262,6 +285,16 @@
 	return p.conns != nil
 }
 
+// isReady reports whether the dial has ended well.
+func (c *conn) isReady() bool {
+	select {
+	case <-c.ready:
+		return c.err == nil
+	default:
+		return false
+	}
+}
+
 func (p *Pool) isCurrent(addr string, c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -279,12 +312,13 @@
 	}
 	p.verified = now
 	n := 0
-	for _, c := range p.conns {
+	for addr, c := range p.conns {
 		if n++; n > maxVerified {
 			return
 		}
-		c.verify.Store(true)
-		c.wake()
+		if c.isReady() && c.watched.CompareAndSwap(false, true) {
+			go p.verify(addr, c)
+		}
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -63,7 +63,7 @@
 const (
 	dialTimeout = 300 * time.Millisecond
 	// idleTimeout closes connections without calls, to bound the number of open connections.
-	idleTimeout = 20 * time.Second
+	idleTimeout = 40 * time.Second
 	// serverIdleTimeout closes accepted connections whose peer has gone without closing them.
 	serverIdleTimeout = 2 * idleTimeout
 )
@@ -118,7 +118,9 @@
 	if err != nil {
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
-	c.callStarted()
+	if c.callStarted() {
+		go p.watch(addr, c)
+	}
 	defer c.callFinished()
 	rep := &reply{value: value}
 	call := c.client.Go(method, args, rep, make(chan *rpc.Call, 1))
@@ -181,8 +183,7 @@
 	}
 }
 
-// open dials for all calls that wait for c; the deadline of a single call does not cancel it. It then
-// watches the connection until it is closed.
+// open dials for all calls that wait for c; the deadline of a single call does not cancel it.
 func (p *Pool) open(addr string, c *conn) {
 	ctx, cancel := context.WithTimeout(p.dialCtx, dialTimeout)
 	defer cancel()
@@ -197,8 +198,11 @@
 		return
 	}
 	close(c.ready)
-	p.watch(addr, c)
-	_ = raw.Close() // c.close does not close raw if it ran before the dial ended
+	select {
+	case <-c.closed:
+		_ = raw.Close() // c.close does not close raw if it ran before the dial ended
+	default:
+	}
 }
 
 // attach makes raw the connection of c. It sends a heartbeat, whose reply proves that the peer is alive and
@@ -206,6 +210,7 @@
 func (p *Pool) attach(addr string, c *conn, raw net.Conn) error {
 	c.raw = &activityConn{Conn: raw, last: &c.lastRead}
 	c.lastRead.Store(time.Now().UnixNano())
+	c.expiry = time.AfterFunc(idleTimeout, func() { p.expire(addr, c) })
 	c.codec = newCodec(c.raw, p.events.Clock(), p.traffic)
 	c.client = rpc.NewClientWithCodec(clientCodec{codec: c.codec, onPong: c.recordPong, onReply: func() { c.replies.Add(1) }, onMalformed: func(err error) {
 		p.events.Emit(events.PeerFrameMalformed, events.Fields{"peer": addr, "reason": err.Error()})
