gossip, peer: pushes get no reply, and go out in rounds of 200 ms

Cause: while hosts come and go, a node sent and answered 30 pushes a second, each an RPC with a goroutine, a timer and a reply.

A push is a notification now: one frame, handled where the connection is read. A round each 200 ms carries what two did. A connection that brings nothing back for 5 s is pinged beside a notification.

--- a/internal/gossip/cluster_test.go
+++ b/internal/gossip/cluster_test.go
@@ -255,6 +255,21 @@
 	return msgpack.Unmarshal(response, reply)
 }
 
+// Notify delivers a message without a reply.
+func (l *link) Notify(ctx context.Context, addr, method string, args any) error {
+	to, err := l.traverse(ctx, l.from.addr, addr)
+	if err != nil {
+		return err
+	}
+	raw, err := msgpack.Marshal(args)
+	if err != nil {
+		return err
+	}
+	l.account(l.from.addr, len(raw)+frameOverhead/2)
+	_, err = dispatch(NewService(to.Members), method, raw)
+	return err
+}
+
 // traverse waits for the latency, and while the link is cut, until ctx ends.
 func (l *link) traverse(ctx context.Context, from, to string) (*testMember, error) {
 	if !duration.Sleep(ctx, linkDelay) {
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -14,9 +14,10 @@
 	"celerybank/internal/events"
 )
 
-// PeerClient performs RPCs to other nodes.
+// PeerClient performs RPCs to other nodes, and sends them messages without a reply.
 type PeerClient interface {
 	Call(ctx context.Context, addr, method string, args, reply any) error
+	Notify(ctx context.Context, addr, method string, args any) error
 }
 
 // Config configures Members.
--- a/internal/gossip/push.go
+++ b/internal/gossip/push.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -13,7 +14,9 @@
 // Push rounds: each node sends an update a number of times that grows with the logarithm
 // of the number of members (SWIM, section 4.1).
 const (
-	pushInterval = 100 * time.Millisecond
+	// pushInterval is the time between two rounds of pushes. Less spreads updates sooner and sends smaller messages,
+	// each of which costs a node about as much as a hundred updates.
+	pushInterval = 200 * time.Millisecond
 	pushTimeout  = 500 * time.Millisecond
 	pushFanout   = 3
 	// pushBytes bounds the updates in one push, before compression.
@@ -220,10 +223,21 @@
 	bytes := len(peers) * (len(payload) + messageOverhead)
 	consume(m.push, bytes)
 	m.metrics.pushSent.Add(bytes)
-	m.tasks.Go(func() { m.send(ctx, peers, payload) })
+	m.tasks.Go(func() { m.pushTo(ctx, peers, payload) })
 	return more
 }
 
+// pushTo sends payload to all peers, which do not reply: what is lost is repaired.
+func (m *Members) pushTo(ctx context.Context, peers []string, payload []byte) {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	var sending sync.WaitGroup
+	for _, addr := range peers {
+		sending.Go(func() { _ = m.cfg.Peers.Notify(ctx, addr, PushMethod, &Push{Updates: payload}) })
+	}
+	sending.Wait()
+}
+
 // send pushes payload to all peers concurrently and waits until they have replied or
 // pushTimeout has passed.
 func (m *Members) send(ctx context.Context, peers []string, payload []byte) {
@@ -232,7 +246,7 @@
 	done := make(chan struct{}, len(peers))
 	for _, addr := range peers {
 		go func() {
-			_ = m.cfg.Peers.Call(ctx, addr, "Gossip.Push", &Push{Updates: payload}, &Empty{}) // other members spread the updates too
+			_ = m.cfg.Peers.Call(ctx, addr, PushMethod, &Push{Updates: payload}, &Empty{}) // other members spread the updates too
 			done <- struct{}{}
 		}()
 	}
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -50,6 +50,20 @@
 	return nil
 }
 
+// PushMethod is the method of a push, which is sent as a notification. Nodes of earlier builds, and a node that leaves,
+// perform it as an RPC.
+const PushMethod = "Gossip.Push"
+
+// Pushed applies the sender's updates; decode reads a Push.
+func (s *Service) Pushed(decode func(any) error) error {
+	var p Push
+	err := decode(&p)
+	if err == nil {
+		s.members.mergePayload(p.Updates, true)
+	}
+	return err
+}
+
 // Push applies the sender's updates.
 func (s *Service) Push(args *Push, _ *Empty) error {
 	s.members.mergePayload(args.Updates, true)
--- a/internal/gossip/slope_test.go
+++ b/internal/gossip/slope_test.go
@@ -110,6 +110,8 @@
 
 func (discardClient) Call(context.Context, string, string, any, any) error { return nil }
 
+func (discardClient) Notify(context.Context, string, string, any) error { return nil }
+
 // forEachSize runs f as a sub-benchmark for each number of members.
 func forEachSize(b *testing.B, f func(b *testing.B, n int)) {
 	for _, n := range []int{600, 2_000, 6_000, 19_000} {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -200,8 +200,10 @@
 func (n *Node) Ready() <-chan struct{} { return n.distributor.Ready() }
 
 func (n *Node) register(ctx context.Context) error {
+	gossipService := gossip.NewService(n.members)
+	n.server.OnNotify(gossip.PushMethod, gossipService.Pushed)
 	for name, service := range map[string]any{
-		"Gossip":       gossip.NewService(n.members),
+		"Gossip":       gossipService,
 		"Distribution": distribution.NewService(n.distributor),
 		"Proxy":        proxy.NewService(ctx, n.owner, n.server.Process()),
 		"Rollout":      rollout.NewService(n.rollouts.recorder),
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -211,6 +211,9 @@
 // bytes, since heartbeats are frequent; net/rpc's own heartbeats (Pool.Ping) have lower numbers.
 const pingSeqBase = 1 << 31
 
+// notifySeq is the sequence number of all notifications, which get no reply.
+const notifySeq = pingSeqBase - 1
+
 // clientCodec implements rpc.ClientCodec.
 type clientCodec struct {
 	*codec
@@ -261,16 +264,23 @@
 	onMalformed func(error)
 	// calls tracks the calls in progress.
 	calls *calls
-	// process is in the reply to each heartbeat.
+	// process is in the reply to a heartbeat that asks for it.
 	process uint64
+	// notified has the handlers of notifications by method.
+	notified map[string]func(decode func(any) error) error
 }
 
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	h, err := c.readHeader()
-	for err == nil && h.Method == pingMethod {
-		var p Ping
-		if err = c.readBody(&p); err == nil {
-			c.answerPing(h.Seq, p)
+	for err == nil {
+		if h.Method == pingMethod {
+			err = c.readPing(h.Seq)
+		} else if handle := c.notified[h.Method]; h.Seq == notifySeq && handle != nil {
+			err = handle(c.readBody)
+		} else {
+			break
+		}
+		if err == nil {
 			h, err = c.readHeader()
 		}
 	}
@@ -285,6 +295,16 @@
 	return nil
 }
 
+// readPing reads and answers a heartbeat.
+func (c serverCodec) readPing(seq uint64) error {
+	var p Ping
+	err := c.readBody(&p)
+	if err == nil {
+		c.answerPing(seq, p)
+	}
+	return err
+}
+
 // answerPing answers a heartbeat without a goroutine of its own, unless another write is in progress.
 func (c serverCodec) answerPing(seq uint64, p Ping) {
 	pong := &Pong{}
--- a/internal/peer/detect.go
+++ b/internal/peer/detect.go
@@ -329,6 +329,11 @@
 // Repeating is the client that Pool.Repeating returns.
 type Repeating struct{ pool *Pool }
 
+// Notify sends one message without a reply; see Pool.Notify.
+func (r Repeating) Notify(ctx context.Context, addr, method string, args any) error {
+	return r.pool.Notify(ctx, addr, method, args)
+}
+
 // Call performs one RPC; see Pool.Call.
 func (r Repeating) Call(ctx context.Context, addr, method string, args, value any) error {
 	err := r.pool.Call(ctx, addr, method, args, value)
--- a/internal/peer/detect_test.go
+++ b/internal/peer/detect_test.go
@@ -141,3 +141,26 @@
 		}
 	})
 }
+
+// A notification on a connection that went silent is lost, and so are all later ones, since nobody waits for a reply.
+func TestNotificationsFindASilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t, nil)
+		defer p.stop()
+		notify := func(text string) {
+			if err := p.pool.Notify(context.Background(), addrB, "Note", &Message{Text: text}); err != nil {
+				t.Errorf("notification %q: %v", text, err)
+			}
+			time.Sleep(time.Second)
+		}
+		notify("a")
+		p.net.Blackhole("10.0.0.1", "10.0.0.2")
+		for range 8 {
+			notify("lost")
+		}
+		notify("b")
+		if got := p.notes(); len(got) < 2 || got[0] != "a" || got[len(got)-1] != "b" {
+			t.Errorf("got the notifications %q, want a at the start and b at the end", got)
+		}
+	})
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -105,6 +105,28 @@
 	return err
 }
 
+// verifyAfter is the silence on a connection after which a notification is followed by a heartbeat.
+const verifyAfter = 5 * time.Second
+
+// Notify sends one message that gets no reply, for what may be lost. An error means that it was not sent.
+func (p *Pool) Notify(ctx context.Context, addr, method string, args any) error {
+	c, err := p.get(ctx, addr)
+	if err != nil {
+		return err
+	}
+	if c.inflight.Load() == 0 {
+		c.busySince.Store(time.Now().UnixNano())
+	}
+	if err := c.codec.write(header{Method: method, Seq: notifySeq}, args); err != nil {
+		p.drop(addr, c)
+		return err
+	}
+	if time.Since(time.Unix(0, c.lastRead.Load())) > verifyAfter && c.watched.CompareAndSwap(false, true) {
+		go p.verify(addr, c)
+	}
+	return nil
+}
+
 // Ping sends a heartbeat to the peer at addr and waits for its reply.
 func (p *Pool) Ping(ctx context.Context, addr string) error {
 	return p.Call(ctx, addr, pingMethod, &Ping{}, &Pong{})
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -56,6 +57,16 @@
 	events *events.Recorder
 	pool   *Pool
 	stop   func()
+
+	mu    sync.Mutex
+	noted []string
+}
+
+// notes returns the texts of the notifications that the server has received.
+func (p *pair) notes() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.noted)
 }
 
 func newPair(t *testing.T, traffic Traffic) *pair {
@@ -64,6 +75,14 @@
 	if err := s.Register("Proxy", echo{}); err != nil {
 		t.Fatal(err)
 	}
+	s.OnNotify("Note", func(decode func(any) error) error {
+		var m Message
+		err := decode(&m)
+		p.mu.Lock()
+		p.noted = append(p.noted, m.Text)
+		p.mu.Unlock()
+		return err
+	})
 	l, err := p.net.Host("10.0.0.2").Listen(addrB)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -35,6 +35,9 @@
 	// calls tracks the calls in progress, for Drain.
 	calls calls
 
+	// notified has the handlers of notifications by method.
+	notified map[string]func(decode func(any) error) error
+
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 	// closed is set when Serve ends; later connections are closed at once.
@@ -43,7 +46,8 @@
 
 // NewServer returns a server that replies to heartbeats; Register adds services. traffic may be nil.
 func NewServer(ev *events.Recorder, traffic Traffic) *Server {
-	return &Server{rpc: rpc.NewServer(), process: rand.Uint64() | 1, events: ev, traffic: traffic, conns: map[net.Conn]struct{}{}}
+	return &Server{rpc: rpc.NewServer(), process: rand.Uint64() | 1, events: ev, traffic: traffic, conns: map[net.Conn]struct{}{},
+		notified: map[string]func(decode func(any) error) error{}}
 }
 
 // Process returns the identifier of this process, which is in the reply to each heartbeat. It is never 0.
@@ -52,6 +56,12 @@
 // Register publishes the methods of service under name, by the rules of rpc.Server.RegisterName.
 func (s *Server) Register(name string, service any) error { return s.rpc.RegisterName(name, service) }
 
+// OnNotify sets the handler of a notification (Pool.Notify), which decodes the arguments. It runs on the goroutine that
+// reads the connection. Call it before Serve. Peers that perform an RPC instead need a service of the same name.
+func (s *Server) OnNotify(method string, handle func(decode func(any) error) error) {
+	s.notified[method] = handle
+}
+
 // Serve accepts connections until ctx ends and serves each in its own goroutine.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
@@ -78,7 +88,7 @@
 	malformed := func(err error) {
 		s.events.Emit(events.PeerFrameMalformed, events.Fields{"peer": c.RemoteAddr().String(), "reason": err.Error()})
 	}
-	s.rpc.ServeCodec(serverCodec{newCodec(idleConn{c}, s.events.Clock(), s.traffic), malformed, &s.calls, s.process})
+	s.rpc.ServeCodec(serverCodec{newCodec(idleConn{c}, s.events.Clock(), s.traffic), malformed, &s.calls, s.process, s.notified})
 }
 
 // idleConn fails its reads when nothing arrives for serverIdleTimeout.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -186,7 +186,9 @@
 	}
 	runCtx, cancelRun := context.WithCancel(context.Background())
 	defer cancelRun()
-	for name, service := range map[string]any{"Gossip": gossip.NewService(n.members), "Orders": orders.NewService(n.follower),
+	gossipService := gossip.NewService(n.members)
+	n.server.OnNotify(gossip.PushMethod, gossipService.Pushed)
+	for name, service := range map[string]any{"Gossip": gossipService, "Orders": orders.NewService(n.follower),
 		"Proxy": proxy.NewService(runCtx, n.owner, n.server.Process()), "Canary": canary.NewService(n.rollouts)} {
 		if err := n.server.Register(name, service); err != nil {
 			return err
