sidecar, orders: a starting node asks its neighbours before the store

Each start made three calls to the store: its entry in the list of hosts, the list, the newest orders.

A node reads the list first, spread over 100 ms when a fleet starts; it writes its entry only if it knows nobody, or if it is one of four by rendezvous hash on which its zone depends. The orders come from peers if one has them within 250 to 500 ms.

--- a/internal/orders/follow.go
+++ b/internal/orders/follow.go
@@ -144,9 +144,28 @@
 	}
 }
 
-// readInitial reads the newest records of all keys once. It retries until it succeeds or a peer has
+// peersFirst is the time for which a starting node asks peers for the orders before it reads the store; jitter adds up to
+// as much again, so that nodes that start at once learn from the first that has read it.
+const peersFirst = 250 * time.Millisecond
+
+// askPeers asks nodes for their orders, as soon as any is known, for at most limit.
+func (f *Follower) askPeers(ctx context.Context, limit time.Duration) {
+	others := func(m *gossip.Member) bool { return m.Addr != f.members.Self().Addr }
+	for start := time.Now(); time.Since(start) < limit && f.replica.View().Next == 0; {
+		f.pullFromAny(ctx, f.members.Alive(), others)
+		if !duration.Sleep(ctx, peersPause) {
+			return
+		}
+	}
+}
+
+// peersPause is the pause between two attempts of askPeers.
+const peersPause = 20 * time.Millisecond
+
+// readInitial gets the newest records of all keys from peers, or else from the store. It retries until either has
 // delivered records.
 func (f *Follower) readInitial(ctx context.Context) {
+	f.askPeers(ctx, peersFirst+rand.N(peersFirst))
 	for delay := retryDelay; ctx.Err() == nil && f.replica.View().Next == 0; delay = min(2*delay, maxRetryDelay) {
 		start := time.Now()
 		if f.readAll(ctx) == nil {
--- a/internal/sidecar/hosts.go
+++ b/internal/sidecar/hosts.go
@@ -57,8 +57,19 @@
 	relistSpreadPerHost = 2 * time.Millisecond
 	// aloneInterval is the mean time between reads of the list while a node knows no other node.
 	aloneInterval = 2 * time.Second
+	// startSpread is the time over which nodes that start at once read the list: those that read it first enter
+	// themselves, and the others find them there.
+	startSpread = 100 * time.Millisecond
+	// enterAfter is the time without another node after which a node enters itself, although the list names others.
+	enterAfter = 150 * time.Millisecond
+	// joinLimit is the time after which a node that has reached none of the listed nodes reads the list again.
+	joinLimit = time.Second
 )
 
+// listedPerZone is the number of nodes of a zone that keep an entry in the list; they are the first by rendezvous
+// hashing. More survive a larger loss without the list naming dead nodes only, and cost a call for each start.
+const listedPerZone = 4
+
 // discovery finds other nodes through the list of hosts.
 type discovery struct {
 	self    string
@@ -70,6 +81,8 @@
 
 	known  []string
 	listed bool
+	// entered is set once the list has this node's entry.
+	entered bool
 }
 
 // rewriteLost writes the entry of this node again each time that the store lost it, until ctx ends.
@@ -97,12 +110,11 @@
 	})
 }
 
-// Run adds this node to the list of hosts and joins listed nodes that it does not know, until ctx ends.
+// Run joins the listed nodes that this node does not know, and enters this node in the list if others depend on
+// that, until ctx ends.
 func (d *discovery) Run(ctx context.Context) error {
+	duration.Sleep(ctx, rand.N(startSpread))
 	start := time.Now()
-	for pause := retryMin; ctx.Err() == nil && d.hosts.Put(ctx, hostKey(d.self), d.self) != nil; pause = min(2*pause, retryMax) {
-		duration.Sleep(ctx, pause/2+rand.N(pause))
-	}
 	for i := 0; ctx.Err() == nil; i++ {
 		wait := aloneInterval/2 + rand.N(aloneInterval)
 		if i < len(joinTimes) {
@@ -120,10 +132,35 @@
 		if i < len(joinTimes) || d.alone() {
 			d.joinUnknown(ctx)
 		}
+		if d.alone() || d.isRanked() {
+			d.enter(ctx)
+		}
 	}
 	return nil
 }
 
+// enter adds this node to the list of hosts, unless that is done. After a failure the next round tries again.
+func (d *discovery) enter(ctx context.Context) {
+	d.entered = d.entered || d.hosts.Put(ctx, hostKey(d.self), d.self) == nil
+}
+
+// isRanked reports whether this node is one of the first listedPerZone live nodes of its zone.
+func (d *discovery) isRanked() bool {
+	rank := func(addr string) uint64 { return xxhash.Sum64String("listed/" + addr) }
+	alive := d.members.Alive()
+	self := slices.IndexFunc(alive, func(m gossip.Member) bool { return m.Addr == d.self })
+	if d.entered || self < 0 {
+		return false
+	}
+	above, mine := 0, rank(d.self)
+	for i := range alive {
+		if m := &alive[i]; m.Zone == alive[self].Zone && rank(m.Addr) > mine {
+			above++
+		}
+	}
+	return above < listedPerZone
+}
+
 func (d *discovery) alone() bool { return d.members.AliveCount() <= 1 }
 
 // list reads the list of hosts and reports whether that succeeded.
@@ -136,6 +173,7 @@
 	listed := len(addrs)
 	addrs = slices.DeleteFunc(addrs, func(a string) bool { _, err := netip.ParseAddrPort(a); return err != nil })
 	invalid := listed - len(addrs)
+	d.entered = slices.Contains(addrs, d.self)
 	d.known = slices.DeleteFunc(addrs, func(a string) bool { return a == d.self })
 	d.events.Emit(events.HostsListed, events.Fields{"known": len(d.known), "invalid": invalid})
 	d.members.SetSeeds(slices.Clone(d.known))
@@ -143,10 +181,18 @@
 }
 
 // joinUnknown joins the listed nodes that are not members yet, the newest first, since older entries
-// may belong to hosts that no longer exist.
+// may belong to hosts that no longer exist. If none of them is reached, it enters this node and gives up, so that
+// nodes that start at the same time find each other.
 func (d *discovery) joinUnknown(ctx context.Context) {
+	start := time.Now()
 	for _, addr := range slices.Backward(d.known) {
-		if ctx.Err() == nil && !d.members.Contains(addr) {
+		if d.alone() && time.Since(start) > enterAfter {
+			d.enter(ctx)
+		}
+		if ctx.Err() != nil || (d.alone() && time.Since(start) > joinLimit) {
+			return
+		}
+		if !d.members.Contains(addr) {
 			d.members.Join(ctx, addr)
 		}
 	}
--- a/internal/sidecar/hosts_test.go
+++ b/internal/sidecar/hosts_test.go
@@ -95,8 +95,8 @@
 
 func (fakeMembership) SetSeeds([]string) {}
 
-// All hosts start at nearly the same time, as after a power failure. Each node finds all others with about one write
-// and one read each: calls to the store are billed, and a fleet makes many.
+// All hosts start at nearly the same time, as after a power failure. Each node finds all others with about one read, and
+// few write: calls to the store are billed, and a fleet makes many.
 func TestSimultaneousStartReadsListOnce(t *testing.T) {
 	for name, outage := range map[string]time.Duration{"store available": 0, "store unavailable at first": 5 * time.Second} {
 		t.Run(name, func(t *testing.T) {
@@ -128,8 +128,8 @@
 				}
 				mesh.mu.Unlock()
 				list.mu.Lock()
-				if list.calls > 2*hosts+hosts/10 {
-					t.Errorf("%d calls to the store by %d hosts, want at most 2.1 per host", list.calls, hosts)
+				if list.calls > hosts+hosts/2 {
+					t.Errorf("%d calls to the store by %d hosts, want at most 1.5 per host", list.calls, hosts)
 				}
 				list.mu.Unlock()
 				stop()
@@ -139,6 +139,42 @@
 	}
 }
 
+// Hosts that are listed restart one after the other, and new ones come: each reads the list once, and only those write that
+// others depend on.
+func TestRestartsAndNewHostsHardlyWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 70
+		ctx, stop := context.WithCancel(context.Background())
+		list, mesh := &hostList{}, &fakeMesh{group: map[string]map[string]bool{}}
+		start := func(addr string) {
+			mesh.mu.Lock()
+			mesh.group[addr] = map[string]bool{addr: true}
+			mesh.mu.Unlock()
+			go func() { _ = (&discovery{self: addr, hosts: list, members: fakeMembership{mesh, addr}}).Run(ctx) }()
+			time.Sleep(500 * time.Millisecond)
+		}
+		for i := range hosts {
+			start(fmt.Sprintf("10.0.0.%d:7000", i))
+		}
+		list.mu.Lock()
+		if list.calls > hosts+hosts/4 {
+			t.Errorf("%d calls to the store by %d hosts that come one after the other, want at most 1.25 per host", list.calls, hosts)
+		}
+		list.calls = 0
+		list.mu.Unlock()
+		for i := range hosts {
+			start(fmt.Sprintf("10.0.0.%d:7000", i))
+		}
+		list.mu.Lock()
+		if list.calls > hosts+listedPerZone {
+			t.Errorf("%d calls to the store by %d restarts, want at most one each, and one by each of the %d that others depend on", list.calls, hosts, listedPerZone)
+		}
+		list.mu.Unlock()
+		stop()
+		synctest.Wait()
+	})
+}
+
 // The store comes back from a copy that lacks the entries of some hosts: each is written again once, and hosts whose entries are
 // there, or whose place another living host has, only read. Nodes that start later find the others by these entries.
 func TestLostEntriesOfHostsAreWrittenAgain(t *testing.T) {
