peer: open one connection at a time beside a suspected one

What was seen: 12 processes beside a load of 36 on 6 cores wrote 79 peer-suspected and 22 peer-silent in 12 s; one of them opened a connection to a stalled peer every 90 ms.

Cause: the heartbeat on the second connection, which is to prove the peer alive, was itself a call in flight: that connection was suspected 90 ms later and replaced in its turn. The pongs of a stalled peer came on connections that were closed by then, so that its usual time was never learnt.

Change: a connection that never brought a pong is given the whole limit of 700 ms instead of being suspected.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -27,6 +27,7 @@
 	// holds many of them.
 	watched atomic.Bool
 
+	proven  atomic.Bool   // a pong has arrived
 	process atomic.Uint64 // of the peer; 0 until the first pong
 	rtt     roundTrip
 	pingSeq atomic.Uint64
@@ -103,6 +104,7 @@
 	if seq == pingSeqBase+c.pingSeq.Load() {
 		c.rtt.observe(time.Since(time.Unix(0, c.pingAt.Load())))
 	}
+	c.proven.Store(true)
 	if p.Process != 0 {
 		c.process.Store(p.Process)
 	}
--- a/internal/peer/detect.go
+++ b/internal/peer/detect.go
@@ -162,6 +162,11 @@
 	if c.ping() != nil {
 		return false
 	}
+	if !c.proven.Load() {
+		// This may be the connection that is to prove a slow peer alive: a third one would only add to its load.
+		answered, _ := c.awaitPong(before, silenceLimit)
+		return answered
+	}
 	timeout := c.rtt.timeout()
 	answered, late := c.awaitPong(before, timeout)
 	if !answered && late {
@@ -194,10 +199,12 @@
 	timer := time.NewTimer(time.Until(start.Add(silenceLimit)))
 	defer timer.Stop()
 	reason := p.awaitProof(addr, c, timer.C)
-	if reason == "" || c.lastRead.Load() != before {
+	switch {
+	case reason == "" || c.lastRead.Load() != before:
 		return true
-	}
-	if reason == peerAlive {
+	case reason == peerClosed:
+		return false
+	case reason == peerAlive:
 		p.verifyAll()
 	}
 	p.events.Emit(events.PeerSilent, events.Fields{"peer": addr, "reason": reason})
--- a/internal/peer/detect_test.go
+++ b/internal/peer/detect_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/go-faster/errors"
 
 	"celerybank/internal/events"
+	"celerybank/internal/faultnet"
 )
 
 // A connection goes silent for good while its peer lives: the median time until its calls can be sent
@@ -164,3 +167,87 @@
 		}
 	})
 }
+
+// countingNetwork counts the dials.
+type countingNetwork struct {
+	Network
+	dials atomic.Int64
+}
+
+func (n *countingNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	n.dials.Add(1)
+	return n.Network.Dial(ctx, addr)
+}
+
+// stallingListener accepts connections whose reads wait while the process stalls; its kernel goes on.
+type stallingListener struct {
+	net.Listener
+	mu      sync.Mutex
+	running chan struct{} // closed while the process runs
+}
+
+func (l *stallingListener) stall(d time.Duration) {
+	stalled := make(chan struct{})
+	l.mu.Lock()
+	l.running = stalled
+	l.mu.Unlock()
+	time.AfterFunc(d, func() { close(stalled) })
+}
+
+func (l *stallingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return stallingConn{c, l}, err
+}
+
+type stallingConn struct {
+	net.Conn
+	l *stallingListener
+}
+
+func (c stallingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.l.mu.Lock()
+	running := c.l.running
+	c.l.mu.Unlock()
+	<-running
+	return n, err
+}
+
+// A process stalls for half a second: each connection that is to prove it alive is suspected in its turn, so that it wakes
+// to a new connection for each tenth of a second from each peer.
+func TestStalledPeerGetsOneMoreConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ev, fake := events.New("n", "z", nil), faultnet.New()
+		s := NewServer(ev, nil)
+		if err := s.Register("Proxy", echo{}); err != nil {
+			t.Fatal(err)
+		}
+		l, err := fake.Host("10.0.0.2").Listen(addrB)
+		if err != nil {
+			t.Fatal(err)
+		}
+		stalling := &stallingListener{Listener: l}
+		stalling.stall(0)
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = s.Serve(ctx, stalling) }()
+		network := &countingNetwork{Network: fake.Host("10.0.0.1")}
+		pool := NewPool(network, ev, nil)
+		say := func() {
+			if err := pool.Call(ctx, addrB, "Proxy.Say", &Message{}, &Message{}); err != nil {
+				t.Errorf("call to a stalled process: %v", err)
+			}
+		}
+		say()
+		for stalls := int64(1); stalls <= 4; stalls++ {
+			time.Sleep(time.Second)
+			stalling.stall(500 * time.Millisecond)
+			say()
+			if dials, most := network.dials.Load(), 1+stalls; dials > most {
+				t.Errorf("%d dials after %d stalls, want at most %d", dials, stalls, most)
+			}
+		}
+		pool.Close()
+		cancel()
+		time.Sleep(time.Second) // for the goroutines of the connections
+	})
+}
