gossip: choose partners again at once while a node has few

Read in the code: a node that has just started chose its partners while it knew nobody, and kept that choice for a second; news about its upstream waited for the next round after that.

TestNewNodePushesToItsFirstPeerAtOnce failed without the change; two more tests for the number of partners and for one that leaves.

--- a/internal/gossip/partners.go
+++ b/internal/gossip/partners.go
@@ -13,7 +13,7 @@
 	// reach more members with the first pushes, and cost a connection each.
 	zonePartners = 16
 	farPartners  = 8
-	// partnersInterval is the time for which partners are kept while members change.
+	// partnersInterval is the time for which a full set of partners is kept while members change.
 	partnersInterval = time.Second
 	// zonePushes is the number of pushes of a round that go to partners in the own zone; the others go to
 	// partners elsewhere, since bytes between zones cost more.
@@ -55,7 +55,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := &m.partners
-	if now := time.Now(); p.root != m.digest.root && now.Sub(p.chosen) >= partnersInterval {
+	few := len(p.zone.addrs) < zonePartners || len(p.far.addrs) < farPartners
+	if now := time.Now(); p.root != m.digest.root && (few || now.Sub(p.chosen) >= partnersInterval) {
 		p.root, p.chosen = m.digest.root, now
 		p.zone, p.far = rotation{addrs: m.ranked(zonePartners, true)}, rotation{addrs: m.ranked(farPartners, false)}
 	}
