orders: bound the time for which a starting node asks its neighbours

Read in the code: three neighbours that do not respond, at 500 ms each, would have kept a starting node from the store for 1.5 s instead of 250 to 500 ms. The limit now ends the calls too. The package's tests pass; no test of its own.

--- a/internal/orders/follow.go
+++ b/internal/orders/follow.go
@@ -150,8 +150,11 @@
 
 // askPeers asks nodes for their orders, as soon as any is known, for at most limit.
 func (f *Follower) askPeers(ctx context.Context, limit time.Duration) {
-	others := func(m *gossip.Member) bool { return m.Addr != f.members.Self().Addr }
-	for start := time.Now(); time.Since(start) < limit && f.replica.View().Next == 0; {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	self := f.members.Self().Addr
+	others := func(m *gossip.Member) bool { return m.Addr != self }
+	for f.replica.View().Next == 0 {
 		f.pullFromAny(ctx, f.members.Alive(), others)
 		if !duration.Sleep(ctx, peersPause) {
 			return
