gossip: one function delivers the messages of the test network

Call and Notify of the tests' links repeated how a message is encoded, counted and handled. Behaviour and assertions as before; the package's tests pass.

--- a/internal/gossip/cluster_test.go
+++ b/internal/gossip/cluster_test.go
@@ -235,16 +235,7 @@
 // Call performs an RPC to the member at addr. It fails if either end has been killed, and
 // blocks while the link is cut.
 func (l *link) Call(ctx context.Context, addr, method string, args, reply any) error {
-	to, err := l.traverse(ctx, l.from.addr, addr)
-	if err != nil {
-		return err
-	}
-	raw, err := msgpack.Marshal(args)
-	if err != nil {
-		return err
-	}
-	l.account(l.from.addr, len(raw)+frameOverhead/2)
-	response, err := dispatch(NewService(to.Members), method, raw)
+	response, err := l.deliver(ctx, addr, method, args)
 	if err != nil {
 		return err
 	}
@@ -257,17 +248,22 @@
 
 // Notify delivers a message without a reply.
 func (l *link) Notify(ctx context.Context, addr, method string, args any) error {
+	_, err := l.deliver(ctx, addr, method, args)
+	return err
+}
+
+// deliver carries a message to the member at addr, which handles it, and returns the response.
+func (l *link) deliver(ctx context.Context, addr, method string, args any) ([]byte, error) {
 	to, err := l.traverse(ctx, l.from.addr, addr)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	raw, err := msgpack.Marshal(args)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	l.account(l.from.addr, len(raw)+frameOverhead/2)
-	_, err = dispatch(NewService(to.Members), method, raw)
-	return err
+	return dispatch(NewService(to.Members), method, raw)
 }
 
 // traverse waits for the latency, and while the link is cut, until ctx ends.
