gossip: a renewed announcement is no news

What was seen: a node of the large deployment takes twice the processor time of one in its small twin, at the same requests a host; 150 idle processes on loopback pushed 3.2 kB a second each.

Cause: the registry reports each accepted announcement of the host's upstream, about one a second, and Members.Update raised the incarnation and gossiped the entry although nothing in it had changed. So each node heard of each other one once a second, some nine times: work that grows with the number of hosts in each node, and with its square in the fleet. The long queues also made each node send real news less often.

Ruled out: the fleet's size by itself (membership at rest sends 444 B/s), probes, the collector.

Change: Update gossips an entry only if it is another one.

Measured: TestRenewedAnnouncementsAreNotGossiped failed with 5,430 bytes a second and node (444 at rest) and passes.

--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -125,11 +125,16 @@
 	m.changeSubs = append(m.changeSubs, f)
 }
 
-// Update applies change to this node's own entry, raises its incarnation and gossips it.
+// Update applies change to this node's own entry. If the entry is another one then, Update raises its incarnation
+// and gossips it.
 func (m *Members) Update(change func(*Member)) {
 	m.mu.Lock()
 	old := m.self
 	change(&m.self)
+	if m.self == old {
+		m.mu.Unlock()
+		return
+	}
 	m.self.Incarnation++
 	m.put(m.self, updateClass(old, m.self))
 	m.mu.Unlock()
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -335,3 +335,34 @@
 		}
 	})
 }
+
+// Upstreams renew their announcements about once a second. Each renewal went to all members as news, so that the work of
+// a node grew with the number of members.
+func TestRenewedAnnouncementsAreNotGossiped(t *testing.T) {
+	withCluster(t, 72, 3, func(c *cluster) {
+		const span = 20
+		start := time.Now()
+		time.Sleep(span * time.Second)
+		rest := c.meanRate(start)
+		incarnations := map[string]uint64{}
+		for _, i := range c.running() {
+			incarnations[i.addr] = i.Self().Incarnation
+		}
+		start = time.Now()
+		for range span {
+			for _, i := range c.running() {
+				renewed := i.Self().Upstream
+				i.Update(func(m *Member) { m.Upstream = renewed })
+			}
+			time.Sleep(time.Second)
+		}
+		if renewing := c.meanRate(start); renewing > 1.1*rest {
+			t.Errorf("a node sends %.0f bytes a second while upstreams renew their announcements, want at most a tenth more than the %.0f at rest", renewing, rest)
+		}
+		for _, i := range c.running() {
+			if got := i.Self().Incarnation; got != incarnations[i.addr] {
+				t.Fatalf("%s: a renewal raised the incarnation from %d to %d", i.addr, incarnations[i.addr], got)
+			}
+		}
+	})
+}
