soak: upstreams that leave unanswered what they cannot queue

Change: upstreams of one service answer a request that finds no free slot never, nor what follows on its connection. A new invariant: at a host without a disruption or planned stop no request finds all slots in use; the checker's test has its violation. The upstream frees a slot before it responds, so that the next request of a quick node is not taken for one too many.

--- a/cmd/celerysoak/main.go
+++ b/cmd/celerysoak/main.go
@@ -55,7 +55,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", c.Seed)
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d promises broken\n", c.Seed, r.Counts.Requests, r.Counts.Served, r.Counts.Refused, len(r.Violations))
+		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d without a slot, %d promises broken\n", c.Seed, r.Counts.Requests, r.Counts.Served, r.Counts.Refused, r.Counts.NoSlot, len(r.Violations))
 		for _, v := range r.Violations {
 			fmt.Println("  ", v)
 		}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -53,6 +53,7 @@
 	BadVersions       Invariant = "a bad version gets a small share and is rolled back"
 	Serves            Invariant = "requests are served"
 	Recovers          Invariant = "service recovers after a total outage"
+	WithinSlots       Invariant = "an upstream gets no more requests at a time than it has slots"
 )
 
 // Violation is one violated invariant.
@@ -120,6 +121,7 @@
 	zones        map[string]*zoneOut
 	badRollout   *badRollout // nil unless one runs
 	lost         []string
+	noSlot       int
 	outagesEnded []time.Time // ends of total outages
 }
 
@@ -171,6 +173,17 @@
 	}
 }
 
+// NoSlot records that a request reached the upstream of a host while all its slots were in use.
+func (c *Checker) NoSlot(id, host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noSlot++
+	now := time.Now()
+	if !disrupted(c.unplanned, host, now.Add(-settleTime), now) && !disrupted(c.planned, host, now.Add(-settleTime), now) {
+		c.violated(WithinSlots, now, "%s reached the upstream of %s, which had no free slot", id, host)
+	}
+}
+
 func (c *Checker) checkZone(e Execution, now time.Time) {
 	z := c.zones[e.Zone]
 	if z == nil || z.acked.IsZero() || !z.backIn.IsZero() || disrupted(c.unplanned, e.Host, now.Add(-settleTime), now) {
--- a/internal/soak/check_run.go
+++ b/internal/soak/check_run.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// Counts has the numbers of requests of a run.
-type Counts struct{ Requests, Served, Refused int }
+// Counts has the numbers of requests of a run. NoSlot are those that reached an upstream without a free slot.
+type Counts struct{ Requests, Served, Refused, NoSlot int }
 
 // Finish checks the run as a whole and returns all violations that were found.
 func (c *Checker) Finish() ([]Violation, Counts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var n Counts
+	n := Counts{NoSlot: c.noSlot}
 	for _, q := range c.requests {
 		n.Requests++
 		if q.served {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -110,6 +110,13 @@
 				}
 			}
 		},
+		WithinSlots: func(c *Checker, violate bool) {
+			if !violate {
+				defer c.Disrupt(PlannedStop, "h1")()
+			}
+			c.RequestSent("r1", "h1", "/p/", true)
+			c.NoSlot("r1", "h1")
+		},
 		Recovers: func(c *Checker, violate bool) {
 			c.Disrupt(TotalOutage, "")()
 			time.Sleep(recoveryBound + time.Millisecond)
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -34,6 +34,9 @@
 	drainDuration = drainBound + 500*time.Millisecond
 	// drainAckTimeout bounds the wait for that acknowledgement; without one the drain continues.
 	drainAckTimeout = 6 * time.Second
+	// silentService is the service whose upstreams leave a request that finds no free slot unanswered, with all that follows
+	// on its connection. The others reject it.
+	silentService = "orders"
 )
 
 // upstream simulates one process of a service on the host of a node. It runs within the soak test's
@@ -104,23 +107,47 @@
 	}
 	if u.running.Add(1) > slots {
 		u.running.Add(-1)
-		counterpart.WriteNotExecuted(w, http.StatusServiceUnavailable)
+		u.checker.NoSlot(req.ID, u.host.name)
+		if u.host.service == silentService {
+			leaveUnanswered(w)
+		} else {
+			counterpart.WriteNotExecuted(w, http.StatusServiceUnavailable)
+		}
 		return
 	}
-	defer u.running.Add(-1)
+	status := u.execute(r, req)
+	u.running.Add(-1) // the node may send the next request once it has the response
+	if status != 0 {
+		counterpart.WriteResponse(w, req.ID, status, responseBody(req.ID))
+	}
+}
+
+// execute runs a request and returns the status of its response, or 0 if the node has closed the connection.
+func (u *upstream) execute(r *http.Request, req counterpart.ReceivedRequest) int {
 	u.checker.ExecutionStarted(Execution{RequestID: req.ID, Instance: u.instance, Host: u.host.name, Service: u.host.service, Zone: u.host.zone, Version: u.version})
 	work := time.NewTimer(minWork + rand.N(workJitter))
 	defer work.Stop()
 	select {
 	case <-work.C:
 	case <-r.Context().Done():
-		return
+		return 0
 	}
 	if u.bad && rand.N(badOneIn) == 0 {
-		counterpart.WriteResponse(w, req.ID, http.StatusInternalServerError, responseBody(req.ID))
+		return http.StatusInternalServerError
+	}
+	return http.StatusOK
+}
+
+// leaveUnanswered responds neither to the request nor to any later one of its connection, until the node closes it.
+func leaveUnanswered(w http.ResponseWriter) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
 		return
 	}
-	counterpart.WriteResponse(w, req.ID, http.StatusOK, responseBody(req.ID))
+	go func() {
+		_, _ = io.Copy(io.Discard, buffered) // ends when the node closes the connection
+		_ = conn.Close()
+	}()
 }
 
 // announceLoop announces the upstream every heartbeatInterval until ctx ends.
