--- a/internal/distribution/follow.go
+++ b/internal/distribution/follow.go
@@ -135,7 +135,7 @@
 	}
 	page = page.Versions()
 	if from = d.store.State().Version + 1; page.First > from {
-		return 0, d.restore(ctx, page.First)
+		return 0, d.restore(ctx, page)
 	}
 	d.store.ApplyEntries(page.Entries)
 	return len(page.Entries), nil
@@ -163,17 +163,13 @@
 }
 
 // restore installs the newest snapshot in the log. It is needed when the log has dropped
-// records that this node has not applied; first is the oldest version that the log retains.
-func (d *Distributor) restore(ctx context.Context, first int64) error {
-	d.events.Emit(events.PrefixLost, events.Fields{"version": d.store.State().Version, "first": first})
-	snap, err := snapshot.Newest(ctx, d.log)
+// records that this node has not applied; page begins with the oldest that it retains.
+func (d *Distributor) restore(ctx context.Context, page configlog.Page) error {
+	d.events.Emit(events.PrefixLost, events.Fields{"version": d.store.State().Version, "first": page.First})
+	st, err := snapshot.NewestBefore(ctx, d.log, page)
 	if err != nil {
 		return err
 	}
-	st := snap.State.InEra(configlog.EraOf(first))
-	if st.Version+1 < first {
-		return errors.Errorf("newest snapshot has version %d, but the log starts at %d", st.Version, first)
-	}
 	d.store.Install(st, "log")
 	return nil
 }
--- a/internal/snapshot/replay.go
+++ b/internal/snapshot/replay.go
@@ -28,7 +28,7 @@
 		}
 		page = page.Versions()
 		if page.First > st.Version+1 {
-			if st, err = restore(ctx, log, page); err != nil {
+			if st, err = NewestBefore(ctx, log, page); err != nil {
 				return nil, err
 			}
 			continue
@@ -49,9 +49,9 @@
 	}
 }
 
-// restore returns the state of the newest snapshot in the era of page. It is an error if the log lacks
+// NewestBefore returns the state of the newest snapshot in the era of page. It is an error if the log lacks
 // records between the snapshot and page, or is older than the snapshot.
-func restore(ctx context.Context, log configlog.Log, page configlog.Page) (*mesh.State, error) {
+func NewestBefore(ctx context.Context, log configlog.Log, page configlog.Page) (*mesh.State, error) {
 	snap, err := Newest(ctx, log)
 	if err != nil {
 		return nil, err
