dispatch: a refused retry keeps the response of the upstream that ran the request

Cause: only an attempt without a response counted as one that may have run. After an upstream's own 5xx an idempotent request is sent to another upstream; when that one refused it, the refusal was the response, with its verdict not-run.

Change: the response of an upstream that ran the request is kept, and returned if no later attempt gets another one.

Measured: TestRefusedRetryKeepsTheResponseOfTheUpstreamThatRan failed in its four cases (refused, shed, not sent: not-run; owner lost: may-have-run without the response) and passes; the package passes.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -127,6 +127,8 @@
 	reached int
 	// mayHaveRun is set once the request may have run at an upstream.
 	mayHaveRun bool
+	// response is the latest response of an upstream that ran the request, or nil.
+	response *proxy.Response
 	// suspected is set when the request is suspected of crashing upstreams. It is not retried once
 	// it may have arrived at one.
 	suspected bool
@@ -173,7 +175,10 @@
 			break
 		}
 	}
-	if st.mayHaveRun && last.Verdict == verdict.NotRun {
+	switch {
+	case st.response != nil:
+		return st.response // a later attempt that ended without one does not undo the run
+	case st.mayHaveRun && last.Verdict == verdict.NotRun:
 		last.Verdict = verdict.MayHaveRun
 	}
 	return last
@@ -293,8 +298,11 @@
 	if res.Verdict != verdict.NotRun || res.Status != 0 {
 		st.reached++
 	}
-	if res.Verdict == verdict.MayHaveRun {
+	switch res.Verdict {
+	case verdict.MayHaveRun:
 		st.mayHaveRun = true
+	case verdict.Ran:
+		st.response = res
 	}
 	// After a gateway timeout of the upstream itself there is no time left for another attempt.
 	failed := res.Verdict == verdict.Ran && res.Status >= fasthttp.StatusInternalServerError && res.Status != fasthttp.StatusGatewayTimeout && st.route.Idempotent
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -173,6 +173,31 @@
 	})
 }
 
+// An upstream ran an idempotent request and failed it, and the retry was refused: the caller was told that the request
+// had not run. It gets the response of the upstream that ran it.
+func TestRefusedRetryKeepsTheResponseOfTheUpstreamThatRan(t *testing.T) {
+	for name, second := range map[string]func(*proxy.Request) (*proxy.Response, error){
+		"refused": refused(proxy.ReasonFull), "shed": shed, "not sent": notSent, "owner lost": lost,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeOwners{responses: map[string]func(*proxy.Request) (*proxy.Response, error){}}
+				var once sync.Once
+				respond := func(r *proxy.Request) (*proxy.Response, error) {
+					response := second
+					once.Do(func() { response = status(500) })
+					return response(r)
+				}
+				f.responses["one"], f.responses["two"] = respond, respond
+				res := newDispatcher(f).Dispatch(t.Context(), request("r1"), "/get/1", Caller{})
+				if res.Verdict != verdict.Ran || res.Status != 500 || len(f.called) < 2 {
+					t.Errorf("called owners %v; got verdict %v, status %d, reason %s, want at least 2, verdict %v and status 500", f.called, res.Verdict, res.Status, res.Reason, verdict.Ran)
+				}
+			})
+		})
+	}
+}
+
 func TestAllFullIsRefusedWithRetryAfter(t *testing.T) {
 	f := &fakeOwners{responses: map[string]func(*proxy.Request) (*proxy.Response, error){"one": refused(proxy.ReasonFull), "two": refused(proxy.ReasonCold)}}
 	res := newDispatcher(f).Dispatch(t.Context(), request("r1"), "/post/1", Caller{})
