soak: a crash closes the connections with unanswered requests too

Cause: a connection that the stand-in of a full upstream leaves unanswered is no longer the HTTP server's, so the end of the process did not close it.

Change: it ends with the upstream's process. A test shows that neither the request nor the next one of its connection gets a response.

--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -50,6 +50,8 @@
 	born     time.Time
 	warmAt   time.Time
 	server   *http.Server
+	// lifetime ends when the process crashes or ends; stop ends it.
+	lifetime context.Context
 	stop     context.CancelFunc
 	running  atomic.Int64
 	draining atomic.Bool
@@ -72,9 +74,9 @@
 		checker.ColdStart(u.instance, u.warmAt)
 	}
 	u.server = &http.Server{Handler: u, IdleTimeout: time.Minute}
-	ctx, u.stop = context.WithCancel(ctx)
+	u.lifetime, u.stop = context.WithCancel(ctx)
 	go func() { _ = u.server.Serve(l) }() // returns when crash closes the server
-	go u.announceLoop(ctx)
+	go u.announceLoop(u.lifetime)
 	return u, nil
 }
 
@@ -109,7 +111,7 @@
 		u.running.Add(-1)
 		u.checker.NoSlot(req.ID, u.host.name)
 		if u.host.service == silentService {
-			leaveUnanswered(w)
+			u.leaveUnanswered(w)
 		} else {
 			counterpart.WriteNotExecuted(w, http.StatusServiceUnavailable)
 		}
@@ -138,14 +140,17 @@
 	return http.StatusOK
 }
 
-// leaveUnanswered responds neither to the request nor to any later one of its connection, until the node closes it.
-func leaveUnanswered(w http.ResponseWriter) {
+// leaveUnanswered responds neither to the request nor to any later one of its connection, until the node closes it or
+// the process ends.
+func (u *upstream) leaveUnanswered(w http.ResponseWriter) {
 	conn, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
+	stop := context.AfterFunc(u.lifetime, func() { _ = conn.Close() })
 	go func() {
-		_, _ = io.Copy(io.Discard, buffered) // ends when the node closes the connection
+		defer stop()
+		_, _ = io.Copy(io.Discard, buffered)
 		_ = conn.Close()
 	}()
 }
