mesh: one inverse of the ids for both states of a restored log

Cause: LostSubjects inverted the ids of the state that is in force and searched those of the restored one for each subject, the same question asked in two ways, the second in a time that grows with subjects times ids.

Change: byVersion inverts both; currentID is gone. No change of behaviour.

--- a/internal/mesh/era.go
+++ b/internal/mesh/era.go
@@ -14,17 +14,14 @@
 // same log after it came back from an older copy, and about which no new record has been written there.
 func (s *State) LostSubjects(restored *State) []string {
 	known, kept := s.IDs.all(), restored.IDs.all()
-	idAt := make(map[int64]string, len(known))
-	for id, version := range known {
-		idAt[version] = id
-	}
+	idAt, keptAt := byVersion(known), byVersion(kept)
 	var lost []string
 	for subject, version := range s.Current {
 		id, remembered := idAt[version]
 		if _, found := kept[id]; !remembered || found {
 			continue
 		}
-		if id, ok := restored.currentID(subject, kept); ok {
+		if id, ok := keptAt[restored.Current[subject]]; ok {
 			if _, old := known[id]; !old {
 				continue
 			}
@@ -34,12 +31,11 @@
 	return lost
 }
 
-// currentID returns the id of the current record of a subject, if ids, the ids of s, still has it.
-func (s *State) currentID(subject string, ids map[string]int64) (string, bool) {
+// byVersion returns the ids of records by their versions.
+func byVersion(ids map[string]int64) map[int64]string {
+	out := make(map[int64]string, len(ids))
 	for id, version := range ids {
-		if version == s.Current[subject] {
-			return id, true
-		}
+		out[version] = id
 	}
-	return "", false
+	return out
 }
