--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -48,6 +48,9 @@
 	ledger   *ledger
 	record   *record
 	server   *http.Server
+	version  string
+	// needs, if set, makes the calls that a request needs, and reports whether they succeeded.
+	needs func(b *backend, id string) bool
 
 	mu       sync.Mutex
 	sequence int64
@@ -58,17 +61,21 @@
 	stop   chan struct{}
 }
 
-// startBackend starts a back end on a machine. It pings the node next to it until it leaves.
-func startBackend(m *machine, instance string, work time.Duration, l *ledger, rec *record) (*backend, error) {
-	b := &backend{m: m, instance: instance, work: work, slots: 9, born: time.Now().UnixMilli(), ledger: l, record: rec, state: "ready", stop: make(chan struct{})}
-	listener, err := net.Listen("tcp", m.addr(appPort))
+// newBackend returns a back end of a machine that is not started.
+func newBackend(m *machine, instance string, work time.Duration, l *ledger, rec *record) *backend {
+	return &backend{m: m, instance: instance, work: work, slots: 9, born: time.Now().UnixMilli(), ledger: l, record: rec, version: "v1", state: "ready", stop: make(chan struct{})}
+}
+
+// start serves, and pings the node next to the back end until it leaves.
+func (b *backend) start() error {
+	listener, err := net.Listen("tcp", b.m.addr(appPort))
 	if err != nil {
-		return nil, err
+		return err
 	}
 	b.server = &http.Server{Handler: b}
 	go func() { _ = b.server.Serve(listener) }()
 	go b.pingLoop()
-	return b, nil
+	return nil
 }
 
 func (b *backend) pingLoop() {
@@ -92,7 +99,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sequence++
-	body, _ := json.Marshal(map[string]any{"service": b.m.service, "address": b.m.addr(appPort), "zone": b.m.zone, "version": "v1",
+	body, _ := json.Marshal(map[string]any{"service": b.m.service, "address": b.m.addr(appPort), "zone": b.m.zone, "version": b.version,
 		"slots": b.slots, "state": b.state, "cold_remaining_s": 0, "sequence": b.sequence, "born": b.born})
 	return body
 }
@@ -153,13 +160,17 @@
 	x := b.ledger.began(id, b.instance)
 	b.record.add("run   %s at %s", id, b.instance)
 	time.Sleep(b.work)
+	status := http.StatusOK
+	if b.needs != nil && !b.needs(b, id) {
+		status = http.StatusInternalServerError
+	}
 	b.mu.Lock()
 	b.running--
 	b.mu.Unlock()
 	body := []byte("answer to " + id)
 	w.Header().Set("X-Response-Signature", "signed-"+b.instance)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(http.StatusOK)
+	w.WriteHeader(status)
 	_, _ = w.Write(body)
 	b.ledger.mu.Lock()
 	x.ended = true
--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -25,15 +25,15 @@
 		return 0, err
 	}
 	defer c.close()
-	c.store.put("keyed.op", "config", config(1, "shop.example", []route{{"/order/", "unsafe", "ordini", 1.2}}, []string{"ordini", "listino"}))
+	c.store.put(topicOperator, "config", config(1, "shop.example", []route{{"/order/", "unsafe", "ordini", 1.2}}, []string{"ordini", "listino"}))
 	if err := c.startNodes(); err != nil {
 		return 0, err
 	}
 	runs := &ledger{}
 	var backends []*backend
 	for i, m := range c.machines {
-		b, err := startBackend(m, fmt.Sprint("i-", i), 150*time.Millisecond, runs, rec)
-		if err != nil {
+		b := newBackend(m, fmt.Sprint("i-", i), 150*time.Millisecond, runs, rec)
+		if err := b.start(); err != nil {
 			return 0, err
 		}
 		backends = append(backends, b)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,8 @@
 
 // cases maps the name of a case to its function. trouble is false if the disruption is to be left out.
 var cases = map[string]func(program string, trouble bool, rec *record) (int, error){
-	"leave-forgotten": leaveForgotten,
+	"leave-forgotten":  leaveForgotten,
+	"rollout-restarts": rolloutRestarts,
 }
 
 func main() {
--- a/review/standin/requester.go
+++ b/review/standin/requester.go
@@ -59,7 +59,12 @@
 }
 
 func (q *requesters) exchange(m *machine, id string) (int, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), q.deadline)
+	return q.exchangeAs(m, id, q.deadline)
+}
+
+// exchangeAs sends one request with an id and returns the status of its answer.
+func (q *requesters) exchangeAs(m *machine, id string, deadline time.Duration) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	var body io.Reader
 	if q.method == http.MethodPost {
@@ -71,7 +76,7 @@
 	}
 	req.Host = q.host
 	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Request-Deadline", fmt.Sprint(q.deadline.Milliseconds()))
+	req.Header.Set("X-Request-Deadline", fmt.Sprint(deadline.Milliseconds()))
 	resp, err := q.client.Do(req)
 	if err != nil {
 		return 0, err
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -14,12 +14,21 @@
 	"time"
 )
 
+// Topics of the platform.
+const (
+	topicOperator = "keyed.op"
+	topicStatus   = "keyed.status"
+)
+
 // store is a stand-in for the platform's metadata store: conditional appends, long polls and the newest record of each
 // key. It keeps all records.
 type store struct {
 	mu      sync.Mutex
 	topics  map[string][][]byte
 	changed chan struct{}
+	// away has the machines that the store turns away; readers has those that have read the statuses, in order.
+	away    map[string]bool
+	readers []string
 }
 
 // startStore serves a new store at addr.
@@ -28,15 +37,52 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{topics: map[string][][]byte{}, changed: make(chan struct{})}
+	s := &store{topics: map[string][][]byte{}, changed: make(chan struct{}), away: map[string]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/log-append", s.serveAppend)
 	mux.HandleFunc("GET /api/log-read", s.serveRead)
 	mux.HandleFunc("GET /api/log-newest", s.serveNewest)
-	go func() { _ = http.Serve(l, mux) }()
+	go func() { _ = http.Serve(l, s.turningAway(mux)) }()
 	return s, nil
 }
 
+// turningAway answers 503 to the machines that the store turns away, and notes who reads the statuses.
+func (s *store) turningAway(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ip, _, _ := net.SplitHostPort(r.RemoteAddr)
+		s.mu.Lock()
+		away := s.away[ip]
+		if r.URL.Query().Get("topic") == topicStatus {
+			s.readers = append(s.readers, ip)
+		}
+		s.mu.Unlock()
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// turnAway sets the machines that the store turns away.
+func (s *store) turnAway(ips ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.away)
+	for _, ip := range ips {
+		s.away[ip] = true
+	}
+}
+
+// statusReaders returns the machines that have read the statuses since the last call, in order.
+func (s *store) statusReaders() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ips := s.readers
+	s.readers = nil
+	return ips
+}
+
 // put appends a record with a key to a keyed topic; a nil value drops the key.
 func (s *store) put(topic, key string, value []byte) {
 	s.mu.Lock()
