--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -71,8 +72,13 @@
 	rec.note("%s confirms the leave of %s: status %d", owner.name, leaving.instance, status)
 	if trouble {
 		time.Sleep(time.Until(confirmed.Add(killAfter)))
-		owner.kill()
-		rec.note("%s is killed", owner.name)
+		if os.Getenv("TROUBLE") == "term" {
+			owner.terminate()
+			rec.note("%s has ended after a SIGTERM", owner.name)
+		} else {
+			owner.kill()
+			rec.note("%s is killed", owner.name)
+		}
 		time.Sleep(restartAfter)
 		if err := owner.start(); err != nil {
 			return 0, err
@@ -81,6 +87,9 @@
 		rec.note("%s is started again", owner.name)
 	}
 	time.Sleep(time.Until(confirmed.Add(latePing)))
+	for trouble && !owner.listens() {
+		time.Sleep(50 * time.Millisecond) // after a SIGTERM the node may still be away
+	}
 	status, err = leaving.ping(late)
 	rec.note("the late ping of %s arrives: status %d, %v", leaving.instance, status, err)
 	time.Sleep(time.Until(confirmed.Add(exitAfter)))
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"time"
 )
 
@@ -89,6 +90,22 @@
 	}
 }
 
+// terminate ends the node by SIGTERM and waits for its end.
+func (m *machine) terminate() {
+	_ = m.cmd.Process.Signal(syscall.SIGTERM)
+	_ = m.cmd.Wait()
+}
+
+// listens reports whether the node takes connections for pings.
+func (m *machine) listens() bool {
+	conn, err := net.DialTimeout("tcp", m.addr(controlPort), time.Second)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 func (m *machine) ready() bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + m.addr(readyPort) + "/api/ready")
