--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -51,6 +51,8 @@
 	version  string
 	// needs, if set, makes the calls that a request needs, and reports whether they succeeded.
 	needs func(b *backend, id string) bool
+	// spoils, if set, reports whether the next answer gets a wrong byte in its status line.
+	spoils func() bool
 
 	mu       sync.Mutex
 	sequence int64
@@ -168,6 +170,10 @@
 	b.running--
 	b.mu.Unlock()
 	body := []byte("answer to " + id)
+	if b.spoils != nil && b.spoils() {
+		b.answerSpoiled(w, id, body)
+		return
+	}
 	w.Header().Set("X-Response-Signature", "signed-"+b.instance)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
@@ -177,6 +183,21 @@
 	b.ledger.mu.Unlock()
 }
 
+// answerSpoiled writes a complete answer of status 201 with a wrong first digit, and keeps the connection open.
+func (b *backend) answerSpoiled(w http.ResponseWriter, id string, body []byte) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	b.record.add("spoiled the answer to %s", id)
+	fmt.Fprintf(conn, "HTTP/1.1 101 Created\r\nX-Request-Id: %s\r\nX-Response-Signature: signed-%s\r\nContent-Length: %d\r\n\r\n%s",
+		id, b.instance, len(body), body)
+	go func() {
+		defer conn.Close()
+		_, _ = io.Copy(io.Discard, conn) // until the node closes it
+	}()
+}
+
 // exit ends the process: its connections break.
 func (b *backend) exit() {
 	close(b.stop)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(program string, trouble bool, rec *record) (int, error){
 	"leave-forgotten":  leaveForgotten,
 	"rollout-restarts": rolloutRestarts,
+	"wrong-status":     wrongStatus,
 }
 
 func main() {
