--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 cd review/standin
-GOFLAGS=-mod=mod GOWORK=off go build -trimpath -o ../../target/review-standin .
+GOFLAGS=-mod=mod GOWORK=off go build -buildvcs=false -trimpath -o ../../target/review-standin .
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -29,6 +31,13 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE PROGRAM RECORD-FILE; TROUBLE=0 leaves out the disruption")
 		os.Exit(notAbleTo)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		killStarted()
+		os.Exit(notAbleTo)
+	}()
 	rec, err := newRecord(os.Args[3])
 	if err == nil {
 		defer rec.close()
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -79,21 +80,39 @@
 	m.cmd.Env = []string{"CELERYBANK_SETTINGS=" + m.settingsFile(), "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	m.cmd.Stdout, m.cmd.Stderr = log, log
 	m.startedAt = time.Now()
-	return m.cmd.Start()
+	if err := m.cmd.Start(); err != nil {
+		return err
+	}
+	started.Store(m.cmd.Process.Pid, m.cmd.Process)
+	return nil
+}
+
+// started has the processes of nodes that were started and have not ended, by their ids.
+var started sync.Map
+
+// killStarted ends all nodes that still run.
+func killStarted() {
+	started.Range(func(_, p any) bool { _ = p.(*os.Process).Kill(); return true })
+}
+
+// wait waits for the end of the node.
+func (m *machine) wait() {
+	_ = m.cmd.Wait()
+	started.Delete(m.cmd.Process.Pid)
 }
 
 // kill ends the node by SIGKILL.
 func (m *machine) kill() {
 	if m.cmd != nil && m.cmd.Process != nil {
 		_ = m.cmd.Process.Kill()
-		_ = m.cmd.Wait()
+		m.wait()
 	}
 }
 
 // terminate ends the node by SIGTERM and waits for its end.
 func (m *machine) terminate() {
 	_ = m.cmd.Process.Signal(syscall.SIGTERM)
-	_ = m.cmd.Wait()
+	m.wait()
 }
 
 // listens reports whether the node takes connections for pings.
