departure: what a node confirmed of a leaving upstream binds its next process

Cause: a confirmed departure was kept in the memory of the process that confirmed it, and nowhere else. The next process took the first announcement that reached it, also one that was sent before the departure. Seen in the logs of both processes: upstream-left with sequence 4, then upstream-announced with sequence 5 of the same instance and start.

Change: a departure is a fact of the membership, written to the connections of four nodes before the confirmation. No call to the store, no reply of a peer is awaited.

--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -153,8 +153,7 @@
 		}
 		o.limited = u
 		next := &current{Upstream: u, quality: &quality{}}
-		next.client = upstream.NewClient(u.Address, o.Dialer, o.connections(u.Service), maxResponseBytes, func() { o.handleRestart(next) }).
-			SetDialect(o.Wire.Dialect()).SetBeforeSend(o.Gate.WaitToSend).SetResponseMemory(o.ResponseMemory)
+		next.client = o.newClient(u.Announcement, func() { o.handleRestart(next) })
 		o.up.Store(next)
 		if old != nil {
 			old.client.CloseIdle()
@@ -163,6 +162,12 @@
 	}
 }
 
+// newClient returns a client for the upstream; onRestart may be nil.
+func (o *Owner) newClient(a registry.Announcement, onRestart func()) *upstream.Client {
+	return upstream.NewClient(a.Address, o.Dialer, o.connections(a.Service), maxResponseBytes, onRestart).
+		SetDialect(o.Wire.Dialect()).SetBeforeSend(o.Gate.WaitToSend).SetResponseMemory(o.ResponseMemory)
+}
+
 // Refresh applies a changed configuration.
 func (o *Owner) Refresh() {
 	o.mu.Lock()
--- a/internal/delivery/probe.go
+++ b/internal/delivery/probe.go
@@ -8,6 +8,8 @@
 
 	"celerybank/internal/events"
 	"celerybank/internal/proxy"
+	"celerybank/internal/registry"
+	"celerybank/internal/upstream"
 )
 
 // handleDown handles an upstream that accepts no connections: requests are refused at once until it
@@ -62,22 +64,35 @@
 	return o.checkHealth(up)
 }
 
+// StillServes asks the process of an announcement whether it serves, by one health check: a process that leaves does not
+// pass it.
+func (o *Owner) StillServes(a registry.Announcement) bool {
+	client := o.newClient(a, nil)
+	defer client.CloseIdle()
+	h, ok := o.checkHealthOver(client, a.Service)
+	return ok && h.OK && h.Instance == a.Instance
+}
+
 // checkHealth sends one health check; ok is false if there was no response.
 func (o *Owner) checkHealth(up *current) (h Health, ok bool) {
-	ctx, cancel := context.WithTimeout(o.lifetime, healthCheckTimeout)
-	defer cancel()
-	hr, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(hr)
-	defer fasthttp.ReleaseResponse(resp)
+	return o.checkHealthOver(up.client, up.Service)
+}
+
+func (o *Owner) checkHealthOver(client *upstream.Client, service string) (h Health, ok bool) {
 	path := ""
-	if t := o.Table(); t != nil && t.Service(up.Service) != nil {
-		path = t.Service(up.Service).HealthPath
+	if t := o.Table(); t != nil && t.Service(service) != nil {
+		path = t.Service(service).HealthPath
 	}
 	if path == "" {
 		return Health{}, false
 	}
+	ctx, cancel := context.WithTimeout(o.lifetime, healthCheckTimeout)
+	defer cancel()
+	hr, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(hr)
+	defer fasthttp.ReleaseResponse(resp)
 	o.Wire.HealthCheck(hr, path)
-	if _, err := up.client.Do(ctx, hr, resp); err != nil {
+	if _, err := client.Do(ctx, hr, resp); err != nil {
 		return Health{}, false // the next check tries again
 	}
 	return o.Wire.Health(resp), true
--- a/internal/gossip/facts.go
+++ b/internal/gossip/facts.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"context"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,6 +51,40 @@
 	m.wakePush()
 }
 
+// publishFanout is the number of members to which PublishFact sends a fact itself: two in the own zone and two elsewhere,
+// so that the fact survives the loss of a zone.
+const publishFanout = 4
+
+// PublishFact is SetFact for a fact that must survive the end of this process. It returns when the fact is written to the
+// connections to publishFanout members or ctx has ended, and does not wait for replies.
+func (m *Members) PublishFact(ctx context.Context, f Fact) {
+	m.SetFact(f)
+	peers := m.nextPartners(publishFanout)
+	payload := (&updates{Facts: []factWire{factToWire(f)}}).encode()
+	if len(peers) == 0 || payload == nil {
+		return
+	}
+	bytes := len(peers) * (len(payload) + messageOverhead)
+	charge(m.push, bytes)
+	m.metrics.pushSent.Add(bytes)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		m.pushTo(context.WithoutCancel(ctx), peers, payload)
+	}()
+	select {
+	case <-written:
+	case <-ctx.Done():
+	}
+}
+
+// FactsSynced returns a channel that is closed once a member that was in the mesh before this node has delivered its
+// facts, or none was found within startupGrace: every node of the mesh has then just started.
+func (m *Members) FactsSynced() <-chan struct{} { return m.factsSynced }
+
+// setFactsSynced closes the channel of FactsSynced on its first call.
+func (m *Members) setFactsSynced() { m.factsSyncedOnce.Do(func() { close(m.factsSynced) }) }
+
 // mergeFact stores f and queues it for other members, unless it is outdated, expired or
 // too large. m.mu is held.
 func (m *Members) mergeFact(f Fact) {
--- a/internal/gossip/join.go
+++ b/internal/gossip/join.go
@@ -1,7 +1,9 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"celerybank/internal/duration"
@@ -35,7 +37,10 @@
 				firstContact, nextHello, seedPause = now, time.Time{}, seedInterval
 			}
 			if !m.isSynced() && now.After(nextPull) && hasBudget(m.repair) {
-				m.setSynced(m.pullFromAny(ctx, m.sample(1)) || now.Sub(firstContact) > startupGrace)
+				m.setSynced(m.pullFromAny(ctx, m.oldestOf(joinCandidates)) || now.Sub(firstContact) > startupGrace)
+				if m.isSynced() {
+					m.setFactsSynced()
+				}
 				wait = min(2*wait, seedInterval)
 				nextPull = time.Now().Add(wait)
 			}
@@ -76,6 +81,23 @@
 // jitter returns a random duration between d/2 and 3d/2.
 func (m *Members) jitter(d time.Duration) time.Duration { return d/2 + time.Duration(m.random(int(d))) }
 
+// joinCandidates is the number of random members of which the oldest is pulled from first: after a mass restart few
+// members were in the mesh before.
+const joinCandidates = 8
+
+// oldestOf returns, of n random live members, the one that started first.
+func (m *Members) oldestOf(n int) []string {
+	candidates := m.sample(n)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(candidates) == 0 {
+		return nil
+	}
+	return []string{slices.MinFunc(candidates, func(a, b string) int {
+		return cmp.Compare(m.belief(a).Incarnation, m.belief(b).Incarnation)
+	})}
+}
+
 // alone reports whether no other member is live.
 func (m *Members) alone() bool {
 	m.mu.Lock()
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -72,6 +72,10 @@
 	factSubs   []func(Fact)
 	left       bool
 	synced     bool // the list counts as complete; see startupGrace
+
+	// factsSynced is the channel of FactsSynced.
+	factsSynced     chan struct{}
+	factsSyncedOnce sync.Once
 }
 
 // entry is a member together with this node's local state about it.
@@ -92,7 +96,7 @@
 	cfg.Self.Incarnation = uint64(time.Now().UnixMilli())
 	cfg.Self.Status = Alive
 	m := &Members{cfg: cfg, events: cfg.Events, metrics: newCounters(), self: cfg.Self, wake: make(chan struct{}, 1),
-		all: map[string]*entry{}, suspects: map[*entry]struct{}{}, queue: newQueue(), facts: newFactTable(), zones: map[string]*zoneView{},
+		all: map[string]*entry{}, suspects: map[*entry]struct{}{}, queue: newQueue(), facts: newFactTable(), factsSynced: make(chan struct{}), zones: map[string]*zoneView{},
 		push: newLimiter(cfg.BytesPerSecond, pushShare), repair: newLimiter(cfg.BytesPerSecond, repairShare)}
 	m.rng = rand.New(rand.NewPCG(xxhash.Sum64String(cfg.Self.Addr), cfg.Self.Incarnation))
 	m.metrics.watch(m)
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -316,6 +316,54 @@
 	})
 }
 
+// A node confirms something, publishes a fact about it and is killed at once. The others must hold the fact and hand it to
+// the next process at the address.
+func TestPublishedFactOutlivesItsProcess(t *testing.T) {
+	withCluster(t, 64, 4, func(c *cluster) {
+		victim := address(2, 3)
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		c.members[victim].PublishFact(ctx, Fact{Kind: "k", Key: "a", Seq: 1, Expires: time.Now().Add(time.Minute)})
+		if took := time.Since(start); took > linkDelay {
+			t.Errorf("publishing took %v, want at most the %v of one way: it must not wait for replies", took, linkDelay)
+		}
+		c.kill(victim)
+		time.Sleep(500 * time.Millisecond)
+		next := c.start(victim)
+		<-next.FactsSynced()
+		c.eventually(3*time.Second, "all members have the fact", func() bool {
+			for _, i := range c.running() {
+				i.mu.Lock()
+				_, ok := i.facts.byKey[factKey{"k", "a"}]
+				i.mu.Unlock()
+				if !ok {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+// A node that starts must have all facts of the mesh when FactsSynced says so, also if they do not fit into one page.
+func TestSyncedFactsAreComplete(t *testing.T) {
+	withCluster(t, 16, 2, func(c *cluster) {
+		const count = 1500
+		for n := range count {
+			c.members[address(1, 2)].SetFact(Fact{Kind: "k", Key: fmt.Sprint(n), Seq: 1, Body: make([]byte, 100), Expires: time.Now().Add(time.Hour)})
+		}
+		time.Sleep(2 * time.Minute) // all members have them
+		next := c.start(address(2, 9))
+		<-next.FactsSynced()
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		if n := len(next.facts.byKey); n != count {
+			t.Errorf("got %d facts, want %d", n, count)
+		}
+	})
+}
+
 func TestFactsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := New(Config{Self: Member{Addr: address(1, 1)}, Events: nil})
--- a/internal/gossip/repair.go
+++ b/internal/gossip/repair.go
@@ -69,6 +69,9 @@
 			return false, reply.Peers
 		}
 		if reply.Next <= start {
+			if !reply.Partial {
+				m.setFactsSynced()
+			}
 			return !reply.Partial, nil
 		}
 		start = reply.Next
@@ -89,8 +92,8 @@
 }
 
 // page collects the content of the buckets from start on that differ from the digest peer,
-// up to the size of a page. next is the bucket at which to continue, 0 at the end. m.mu is
-// held.
+// up to the size of a page; the buckets of facts come last. next is the bucket at which to
+// continue, 0 at the end. m.mu is held.
 func (m *Members) page(peer []byte, start int) (u updates, next int) {
 	differ := m.digest.differingBuckets(peer, start)
 	byBucket := map[int][]*entry{}
@@ -113,13 +116,29 @@
 			size += memberSize + len(e.Name) + len(e.Zone) + len(e.Upstream.Instance)
 		}
 	}
-	for k, f := range m.facts.byKey {
-		if b, _ := factHash(f); differ[b] && size <= 2*pageBytes {
-			u.Facts = append(u.Facts, factToWire(m.facts.byKey[k]))
+	next = m.factPage(&u, differ, max(start, memberBuckets), size)
+	return u, next
+}
+
+// factPage adds the facts of the buckets from start on that differ to a page of the given size. next is the bucket at which
+// to continue, 0 at the end. m.mu is held.
+func (m *Members) factPage(u *updates, differ [buckets]bool, start, size int) (next int) {
+	byBucket := map[int][]Fact{}
+	for _, f := range m.facts.byKey {
+		if b, _ := factHash(f); differ[b] && b >= start {
+			byBucket[b] = append(byBucket[b], f)
+		}
+	}
+	for b := start; b < buckets; b++ {
+		if size > pageBytes && len(byBucket[b]) > 0 {
+			return b
+		}
+		for _, f := range byBucket[b] {
+			u.Facts = append(u.Facts, factToWire(f))
 			size += factSize(f)
 		}
 	}
-	return u, 0
+	return 0
 }
 
 // queryAlive asks addr, a member of zone, which of the zone's members that this node lists
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"celerybank/internal/departure"
 	"celerybank/internal/events"
 )
 
@@ -49,12 +50,23 @@
 	ColdUntil time.Time
 }
 
+// Departures keeps which processes have said that they leave, also beyond the end of this node's process.
+type Departures interface {
+	// Record keeps a notice. It returns when the notice outlives this process, as far as that needs no reply.
+	Record(n departure.Notice)
+	// Stage returns how far a process has left.
+	Stage(instance string, born int64) departure.Stage
+	// Known reports whether the departures that the previous process of this node confirmed are known.
+	Known() bool
+}
+
 // Registry holds the upstream of one host.
 type Registry struct {
 	service, address string
 	events           *events.Recorder
-	// lease is how long an announcement is valid.
-	lease time.Duration
+	departures       Departures
+	// interval is the usual time between two announcements, lease how long one is valid.
+	interval, lease time.Duration
 
 	mu      sync.Mutex
 	current Upstream
@@ -62,8 +74,11 @@
 	// handedOver is set once a successor of this node's process is responsible for the
 	// upstream.
 	handedOver bool
-	ended      map[string]int64 // Born of the instances that have announced their end
-	onChange   func(u Upstream, present bool)
+	// held is an announcement that waits until the departures are known, if its Instance is set; heldSince is when its
+	// process first announced itself.
+	held      Announcement
+	heldSince time.Time
+	onChange  func(u Upstream, present bool)
 }
 
 // SameProcess reports whether b is an announcement of the same process.
@@ -75,21 +90,27 @@
 // and a crashed upstream is detected sooner by its broken connections.
 const leaseIntervals = 4
 
-// maxEnded bounds the instances recorded as ended.
-const maxEnded = 64
-
 // New returns a registry for the upstream of service at address (IP:port), which announces
 // itself about every interval. onChange is called under the registry's lock after each
 // accepted announcement and each other change; present is false if there is no upstream.
-func New(service, address string, interval time.Duration, ev *events.Recorder, onChange func(u Upstream, present bool)) *Registry {
-	return &Registry{service: service, address: address, lease: leaseIntervals * interval, events: ev,
-		ended: map[string]int64{}, onChange: onChange}
+func New(service, address string, interval time.Duration, departures Departures, ev *events.Recorder, onChange func(u Upstream, present bool)) *Registry {
+	return &Registry{service: service, address: address, departures: departures, interval: interval, lease: leaseIntervals * interval,
+		events: ev, onChange: onChange}
 }
 
 // Announce applies an announcement. It returns false if this node is not responsible for
 // the upstream: it is not the one of this host, or it has been handed over. It returns
-// true for an outdated announcement, which is ignored.
+// true for an outdated announcement, which is ignored. A departure is recorded before
+// Announce returns.
 func (r *Registry) Announce(a Announcement) bool {
+	responsible := r.announce(a)
+	if responsible && a.State != Ready {
+		r.departures.Record(departure.Notice{Instance: a.Instance, Born: a.Born, Stage: departure.Draining})
+	}
+	return responsible
+}
+
+func (r *Registry) announce(a Announcement) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if a.Service != r.service || a.Address != r.address {
@@ -104,6 +125,66 @@
 		r.ignore(a, reason)
 		return true
 	}
+	if !r.hold(a) {
+		r.accept(a)
+	}
+	return true
+}
+
+// hold keeps the first announcement to this process while it does not know the departures that its predecessor confirmed:
+// the announcement may be a late one of a process that has left. It reports false if the upstream may get requests: its
+// process has announced itself again, which one that has left does not do.
+func (r *Registry) hold(a Announcement) bool {
+	known := r.current.Instance != "" && r.current.SameProcess(a)
+	if a.State != Ready || known || r.departures.Known() {
+		return false
+	}
+	now := time.Now()
+	if !r.held.SameProcess(a) {
+		r.held, r.heldSince = a, now
+		r.events.Emit(events.AnnounceHeld, events.Fields{"instance": a.Instance, "sequence": a.Sequence, "born": a.Born})
+		return true
+	}
+	return a.Sequence <= r.held.Sequence || now.Sub(r.heldSince) < r.interval/2
+}
+
+// Held returns the announcement that waits for the departures of the predecessor; ok is false if none does.
+func (r *Registry) Held() (a Announcement, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held, r.held.Instance != ""
+}
+
+// Release applies the announcement that waits, if it is of the same process as a and that has not left. reason is why its
+// process is known not to have left.
+func (r *Registry) Release(a Announcement, reason ReleaseReason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := r.held
+	if held.Instance == "" || !held.SameProcess(a) || r.handedOver {
+		return
+	}
+	r.held = Announcement{}
+	if stale := r.staleReason(held); stale != "" {
+		r.ignore(held, stale)
+		return
+	}
+	r.events.Emit(events.AnnounceReleased, events.Fields{"instance": held.Instance, "sequence": held.Sequence, "born": held.Born,
+		"reason": reason, "after_ms": time.Since(r.heldSince).Milliseconds()})
+	r.accept(held)
+}
+
+// ReleaseReason is the evidence that an upstream has not left.
+type ReleaseReason string
+
+const (
+	DeparturesKnown ReleaseReason = "departures known"
+	HealthChecked   ReleaseReason = "health check"
+)
+
+// accept makes a the current announcement. r.mu is held.
+func (r *Registry) accept(a Announcement) {
+	r.held = Announcement{}
 	previous, hadUpstream := r.current, r.present
 	now := time.Now()
 	r.current = Upstream{Announcement: a, LastAnnounced: now}
@@ -115,15 +196,17 @@
 		r.report(a)
 	}
 	r.onChange(r.current, true)
-	return true
 }
 
 // staleReason returns why an announcement is outdated, or "" if it is not.
 func (r *Registry) staleReason(a Announcement) string {
 	c := &r.current
 	same := c.SameProcess(a)
-	if born, ok := r.ended[a.Instance]; ok && a.Born <= born && a.State == Ready {
-		return "its process has announced its end"
+	if a.State == Ready && r.departures.Stage(a.Instance, a.Born) != departure.None {
+		return "its process has announced that it drains or ends"
+	}
+	if h := &r.held; h.Instance != "" && !h.SameProcess(a) && a.Born > 0 && a.Born < h.Born {
+		return "its process started before one that has announced itself"
 	}
 	switch {
 	case c.Instance == "":
@@ -157,41 +240,75 @@
 // late announcement of it is ignored. End returns false if the upstream has been handed
 // over.
 func (r *Registry) End(instance string, born int64) bool {
+	n, responsible := r.end(instance, born)
+	if responsible {
+		r.departures.Record(n)
+	}
+	return responsible
+}
+
+func (r *Registry) end(instance string, born int64) (n departure.Notice, responsible bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.handedOver {
-		return false
+		return n, false
 	}
-	if r.present && r.current.Instance == instance {
-		if born > 0 && r.current.Born > 0 && born < r.current.Born {
-			return true // the end of an earlier process with the same name
-		}
-		born = max(born, r.current.Born)
+	if born <= 0 {
+		born = r.bornOf(instance)
 	}
-	if len(r.ended) >= maxEnded {
-		clear(r.ended)
+	n = departure.Notice{Instance: instance, Born: born, Stage: departure.Ended}
+	r.depart(n)
+	return n, true
+}
+
+// bornOf returns the start of the newest process named instance that may have announced its end just now, in Unix
+// milliseconds.
+func (r *Registry) bornOf(instance string) int64 {
+	switch instance {
+	case r.current.Instance:
+		return r.current.Born
+	case r.held.Instance:
+		return r.held.Born
 	}
-	r.ended[instance] = max(r.ended[instance], born)
-	if !r.present || r.current.Instance != instance || r.current.State == Gone {
-		return true
+	return time.Now().UnixMilli()
+}
+
+// Departed applies a departure that the previous process of this node confirmed.
+func (r *Registry) Departed(n departure.Notice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.handedOver {
+		r.depart(n)
+	}
+}
+
+// depart applies a departure to the current upstream, if n is about it. r.mu is held.
+func (r *Registry) depart(n departure.Notice) {
+	state := Draining
+	if n.Stage == departure.Ended {
+		state = Gone
 	}
-	r.current.State = Gone
+	if !r.present || r.current.Instance != n.Instance || r.current.Born > n.Born || r.current.State >= state {
+		return
+	}
+	r.current.State = state
 	r.report(r.current.Announcement)
 	r.onChange(r.current, true)
-	return true
 }
 
 // Leave records that the process named instance, started at born, said that it leaves. It has the effect of
 // an announcement that the process drains.
 func (r *Registry) Leave(instance string, born int64) {
+	n := departure.Notice{Instance: instance, Born: born, Stage: departure.Draining}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.handedOver || !r.present || r.current.Instance != instance || r.current.Born != born || r.current.State != Ready {
-		return
+	current := !r.handedOver && r.present && r.current.Instance == instance && r.current.Born == born && r.current.State == Ready
+	if current {
+		r.depart(n)
+	}
+	r.mu.Unlock()
+	if current {
+		r.departures.Record(n)
 	}
-	r.current.State = Draining
-	r.report(r.current.Announcement)
-	r.onChange(r.current, true)
 }
 
 // HandOver returns the upstream for this process's successor. From then on Announce and End
@@ -211,11 +328,17 @@
 func (r *Registry) Adopt(a Announcement) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, ended := r.ended[a.Instance]
-	if r.handedOver || r.current.Instance != "" || ended || a.State != Ready || a.Service != r.service || a.Address != r.address {
+	left := r.departures.Stage(a.Instance, a.Born) != departure.None
+	if r.handedOver || r.current.Instance != "" || left || a.State != Ready || a.Service != r.service || a.Address != r.address {
 		return false
 	}
 	now := time.Now()
+	if r.held.Instance != "" && !r.held.SameProcess(a) && a.Born < r.held.Born {
+		return false
+	}
+	if r.held.SameProcess(a) {
+		r.held = Announcement{}
+	}
 	r.current, r.present = Upstream{Announcement: a, LastAnnounced: now, ColdUntil: now.Add(r.lease)}, true
 	r.report(a)
 	r.onChange(r.current, true)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"celerybank/internal/departure"
 )
 
 const addr = "10.0.0.1:8000"
@@ -12,11 +14,28 @@
 	return Announcement{Instance: instance, Service: "stock", Address: addr, Version: "v1", Slots: 4, Sequence: sequence, Born: born}
 }
 
+// departures keeps notices in memory only.
+type departures struct {
+	known   bool
+	notices []departure.Notice
+}
+
+func (d *departures) Record(n departure.Notice) { d.notices = append(d.notices, n) }
+func (d *departures) Known() bool               { return d.known }
+func (d *departures) Stage(instance string, born int64) (stage departure.Stage) {
+	for _, n := range d.notices {
+		if n.Instance == instance && born <= n.Born {
+			stage = max(stage, n.Stage)
+		}
+	}
+	return stage
+}
+
 // newTestRegistry returns a registry and the arguments of its last onChange.
 func newTestRegistry() (*Registry, *Upstream, *bool) {
 	var u Upstream
 	var present bool
-	r := New("stock", addr, time.Second, nil, func(x Upstream, p bool) { u, present = x, p })
+	r := New("stock", addr, time.Second, &departures{known: true}, nil, func(x Upstream, p bool) { u, present = x, p })
 	return r, &u, &present
 }
 
@@ -157,3 +176,80 @@
 		t.Errorf("got state %v of the next process, want %v", u.State, Ready)
 	}
 }
+
+// The predecessor of this process may have confirmed that an upstream leaves. Until the departures are known, a first
+// announcement may be a late one of that upstream.
+func TestFirstAnnouncementIsHeldWhileDeparturesAreUnknown(t *testing.T) {
+	const interval = time.Second
+	left := departure.Notice{Instance: "i-1", Born: 100, Stage: departure.Ended}
+	for name, c := range map[string]struct {
+		then    func(r *Registry, d *departures)
+		present bool
+	}{
+		"nothing more":   {func(*Registry, *departures) {}, false},
+		"a repeated one": {func(r *Registry, _ *departures) { time.Sleep(interval); r.Announce(announcement("i-1", 5, 100)) }, false},
+		"an earlier one": {func(r *Registry, _ *departures) { time.Sleep(interval); r.Announce(announcement("i-1", 4, 100)) }, false},
+		"two late ones":  {func(r *Registry, _ *departures) { r.Announce(announcement("i-1", 6, 100)) }, false},
+		"a later one":    {func(r *Registry, _ *departures) { time.Sleep(interval); r.Announce(announcement("i-1", 6, 100)) }, true},
+		"it has left": {func(r *Registry, d *departures) {
+			d.Record(left)
+			r.Release(announcement("i-1", 5, 100), DeparturesKnown)
+		}, false},
+		"it has not left": {func(r *Registry, _ *departures) { r.Release(announcement("i-1", 5, 100), DeparturesKnown) }, true},
+		"another process": {func(r *Registry, _ *departures) { r.Release(announcement("i-2", 1, 200), HealthChecked) }, false},
+		"its end": {func(r *Registry, d *departures) {
+			r.End("i-1", 0)
+			r.Release(announcement("i-1", 5, 100), DeparturesKnown)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &departures{}
+				present := false
+				r := New("stock", addr, interval, d, nil, func(_ Upstream, p bool) { present = p })
+				if !r.Announce(announcement("i-1", 5, 100)) || present {
+					t.Fatalf("first announcement: present %v, want acknowledged and not present", present)
+				}
+				c.then(r, d)
+				if present != c.present {
+					t.Errorf("present: got %v, want %v", present, c.present)
+				}
+			})
+		})
+	}
+}
+
+// The end of an upstream is confirmed by a process to which it never announced itself, and which is not told its start.
+func TestEndWithoutStartCoversEarlierProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, u, present := newTestRegistry()
+		born := time.Now().UnixMilli()
+		time.Sleep(time.Second)
+		r.End("i-1", 0)
+		r.Announce(announcement("i-1", 9, born))
+		if *present {
+			t.Error("a process that announced its end is present")
+		}
+		time.Sleep(time.Second)
+		next := time.Now().UnixMilli()
+		r.Announce(announcement("i-1", 1, next))
+		if !*present || u.Born != next {
+			t.Errorf("present %v, born %d; want the later process of the same name, born %d", *present, u.Born, next)
+		}
+	})
+}
+
+// A predecessor's departure becomes known after the upstream was accepted.
+func TestLateKnownDepartureClosesTheUpstream(t *testing.T) {
+	r, u, _ := newTestRegistry()
+	r.Announce(announcement("i-1", 5, 100))
+	r.Departed(departure.Notice{Instance: "i-1", Born: 100, Stage: departure.Draining})
+	if u.State != Draining {
+		t.Errorf("state: got %v, want %v", u.State, Draining)
+	}
+	r.Announce(announcement("i-2", 1, 300))
+	r.Departed(departure.Notice{Instance: "i-2", Born: 200, Stage: departure.Ended}) // of an earlier process with the name
+	if u.State != Ready || u.Instance != "i-2" {
+		t.Errorf("got %s in state %v, want i-2 in state %v", u.Instance, u.State, Ready)
+	}
+}
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -13,8 +13,7 @@
 
 // handoverKind is the kind of the gossip fact with which a node that stops gracefully hands its upstream
 // over to its successor on the host. Without it the upstream is unreachable until its next announcement.
-// A killed process hands nothing over: it may have acknowledged that its upstream drains without having
-// told any other node.
+// A killed process hands nothing over; which upstreams have left is known from the departures either way.
 const handoverKind = "handover"
 
 // handoverLifetime is the age after which a successor ignores a handover; a process restarts within one or two seconds.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"celerybank/internal/canary"
 	"celerybank/internal/crash"
 	"celerybank/internal/delivery"
+	"celerybank/internal/departure"
 	"celerybank/internal/dispatch"
 	"celerybank/internal/events"
 	"celerybank/internal/gossip"
@@ -45,6 +46,7 @@
 	balancer      *balance.Balancer
 	gate          *delivery.Gate
 	owner         *delivery.Owner
+	departures    *departure.Tracker
 	registry      *registry.Registry
 	crashes       *crash.Registry
 	rollouts      *canary.Controller
@@ -95,7 +97,8 @@
 		Crashes: n.crashes, Observer: n.rollouts, Leaving: n.upstreamLeaves, Events: ev, Cold: delivery.ColdBound{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 		MeanProcessingTime: n.balancer.MeanProcessingTime,
 		ResponseMemory:     &upstream.ResponseMemory{Bytes: int64(responseMemoryFraction * float64(s.MemoryBytes))}})
-	n.registry = registry.New(s.Service, s.Upstream, s.AnnounceInterval, ev, n.upstreamChanged)
+	n.departures = departure.New(s.Peers, n.members, ev)
+	n.registry = registry.New(s.Service, s.Upstream, s.AnnounceInterval, n.departures, ev, n.upstreamChanged)
 	n.replica.Subscribe(n.ordersChanged)
 	n.budget = &dispatch.Budget{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Nodes: n.aliveMembers}
 	n.dispatch = dispatch.New(dispatch.Config{Addr: s.Peers, View: n.replica.View, Balancer: n.balancer, Owner: n.owner, Peers: n.pool,
@@ -209,7 +212,7 @@
 	}
 	wg.Go(func() { _ = n.ingress.Serve(callers) })
 	for _, task := range []func(context.Context) error{func(ctx context.Context) error { return n.server.Serve(ctx, peers) },
-		n.members.Run, n.follower.Run, hostDiscovery.Run, hostDiscovery.rewriteLost, n.acceptHandover, n.probeZones, n.rollouts.Run, n.housekeeping} {
+		n.members.Run, n.follower.Run, hostDiscovery.Run, hostDiscovery.rewriteLost, n.acceptHandover, n.inheritDepartures, n.checkHeld, n.probeZones, n.rollouts.Run, n.housekeeping} {
 		wg.Go(func() {
 			if err := task(runCtx); err != nil {
 				n.events.Emit(events.TaskFailed, events.Fields{"reason": err.Error()})
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -28,15 +28,17 @@
 
 // host is a loopback address with a node and an upstream that implements the platform's protocol.
 type host struct {
-	t        *testing.T
+	t        testing.TB
 	ip, zone string
 	node     *Node
+	network  *killable
 	stop     context.CancelFunc
 	ended    chan error
 
 	instance string
 	sequence int64
 	runs     atomic.Int64
+	leaving  atomic.Bool
 	// mu guards lastRequest, the last request that ran.
 	mu          sync.Mutex
 	lastRequest counterpart.ReceivedRequest
@@ -47,6 +49,10 @@
 func (h *host) addr(port int) string { return h.ip + ":" + strconv.Itoa(port) }
 
 func (h *host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == counterpart.HealthPath {
+		h.serveHealth(w)
+		return
+	}
 	req := counterpart.ReadRequest(r.Header)
 	if req.Instance != h.instance {
 		counterpart.WriteNotExecuted(w, http.StatusMisdirectedRequest)
@@ -62,6 +68,14 @@
 	counterpart.WriteResponse(w, req.ID, http.StatusOK, fmt.Appendf(nil, "%s %s %s", h.zone, r.URL.RequestURI(), body))
 }
 
+func (h *host) serveHealth(w http.ResponseWriter) {
+	if h.leaving.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	counterpart.WriteHealth(w, h.instance, 0)
+}
+
 // announce announces the upstream to its node; it reports whether the node acknowledges.
 func (h *host) announce(draining bool) bool {
 	h.sequence++
@@ -98,14 +112,16 @@
 
 // mesh is a set of hosts and a stand-in for the store.
 type mesh struct {
-	t     *testing.T
+	t     testing.TB
 	log   *configlog.Memory
 	store string
 	hosts []*host
+	// started has all hosts, those added later too.
+	started []*host
 }
 
 // eventually waits for a condition and fails the test after 6000 checks that are 5 ms apart.
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for range 6000 {
 		if ok() {
@@ -116,7 +132,7 @@
 	t.Fatalf("condition not met in time: %s", what)
 }
 
-func startMesh(t *testing.T, zones ...string) *mesh {
+func startMesh(t testing.TB, zones ...string) *mesh {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -126,25 +142,42 @@
 	done := make(chan error, 1)
 	go func() { done <- standin.Serve(ctx, l, m.log) }()
 	t.Cleanup(func() { stop(); <-done })
+	t.Cleanup(m.stopAll)
+	first := 1 + int(meshes.Add(1)-1)%maxMeshes*hostsPerMesh
 	for i, zone := range zones {
-		m.hosts = append(m.hosts, m.start(fmt.Sprintf("127.%d.%d.%d", 80+os.Getpid()%100, os.Getpid()/100%250, i+1), zone))
+		m.hosts = append(m.hosts, m.start(fmt.Sprintf("127.%d.%d.%d", 80+os.Getpid()%100, os.Getpid()/100%250, first+i), zone))
 	}
 	return m
 }
 
+// Each mesh has hostsPerMesh addresses, which are used again after maxMeshes meshes.
+const (
+	hostsPerMesh = 10
+	maxMeshes    = 25
+)
+
+var meshes atomic.Int32
+
+// stopAll stops all nodes gracefully and at the same time.
+func (m *mesh) stopAll() {
+	for _, h := range m.started {
+		h.stop()
+	}
+	for _, h := range m.started {
+		<-h.ended
+	}
+}
+
 func (m *mesh) start(ip, zone string) *host {
-	h := &host{t: m.t, ip: ip, zone: zone, instance: "i-" + ip, ended: make(chan error, 1)}
+	h := &host{t: m.t, ip: ip, zone: zone, instance: "i-" + ip}
 	l, err := net.Listen("tcp", h.addr(counterpart.UpstreamPort))
 	if err != nil {
 		m.t.Fatal(err)
 	}
 	server := &http.Server{Handler: h}
 	go func() { _ = server.Serve(l) }()
-	m.t.Cleanup(func() {
-		h.stop()
-		<-h.ended
-		_ = server.Close()
-	})
+	m.t.Cleanup(func() { _ = server.Close() })
+	m.started = append(m.started, h)
 	m.startNode(h)
 	return h
 }
@@ -157,8 +190,11 @@
 	}
 	var ctx context.Context
 	ctx, h.stop = context.WithCancel(context.Background())
-	h.node = New(ctx, s, peer.TCP{SourceIP: net.ParseIP(h.ip)}, events.New(s.Name, h.zone, nil))
-	go func() { h.ended <- h.node.Run(ctx) }()
+	h.network = &killable{TCP: peer.TCP{SourceIP: net.ParseIP(h.ip)}}
+	h.node = New(ctx, s, h.network, events.New(s.Name, h.zone, nil))
+	node, ended := h.node, make(chan error, 1)
+	h.ended = ended
+	go func() { ended <- node.Run(ctx) }()
 }
 
 // requestHost is the host name in callers' requests.
