node: an accepted leave binds the next process, and outlives the lease

Callers of the product's own node saw the fault of the node on the users' platform: an upstream that left got requests again, after the node was killed, and also from the same process when an announcement arrived after the lease had expired.

Cause: upstream.Registry kept the leave in the state of the current announcement only.

Change: departures are kept by internal/departure, which hands them to other nodes before the leave is accepted; until a process knows those of its predecessor, the first announcement is held for one more.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"celerybank/internal/claims"
 	"celerybank/internal/configlog"
 	"celerybank/internal/crash"
+	"celerybank/internal/departure"
 	"celerybank/internal/distribution"
 	"celerybank/internal/events"
 	"celerybank/internal/gossip"
@@ -46,6 +47,7 @@
 	router      *routing.Router
 	gate        *admission.Gate
 	lag         schedlag.Meter
+	departures  *departure.Tracker
 	registry    *upstream.Registry
 	owner       *proxy.Owner
 	crashes     *crash.Registry
@@ -81,7 +83,8 @@
 	n.handler = proxy.NewHandler(n.entry, ev, cfg.Limits.CallTimeout.D(), n.distributor.Ready())
 	n.calls = newCallMetrics(n)
 	n.handler.OnResponse(n.calls.count)
-	n.registry = upstream.NewRegistry(ev, n.upstreamChanged)
+	n.departures = departure.New(self.Addr, n.members, ev)
+	n.registry = upstream.NewRegistry(n.departures, ev, n.upstreamChanged)
 	n.store.Subscribe(n.stateChanged)
 	n.store.Subscribe(n.rolloutStateChanged)
 	n.wireZones(log)
@@ -170,6 +173,9 @@
 	run(func(ctx context.Context) error { return n.server.Serve(ctx, peers) })
 	run(n.lag.Run)
 	run(n.members.Run)
+	run(func(ctx context.Context) error {
+		return n.departures.Run(ctx, n.registry.Departed, n.registry.DeparturesKnown)
+	})
 	run(n.distributor.Run)
 	run(n.housekeeping)
 	run(n.rollouts.coordinator.Run)
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -9,12 +9,16 @@
 
 	"github.com/go-faster/errors"
 
+	"celerybank/internal/departure"
 	"celerybank/internal/events"
 )
 
 // LeaseDuration is how long an announcement is valid without renewal.
 const LeaseDuration = 3 * time.Second
 
+// announceInterval is the time between two announcements of an upstream.
+const announceInterval = time.Second
+
 // Announcement is what an upstream sends to the node on its host, once a second.
 type Announcement struct {
 	Service string `json:"service"`
@@ -45,43 +49,111 @@
 	return nil
 }
 
+// Departures keeps which processes have said that they leave, also beyond the end of this node's process. Instances are
+// unique, so that the start of a process is always 0.
+type Departures interface {
+	// Record keeps a notice. It returns when the notice outlives this process, as far as that needs no reply.
+	Record(n departure.Notice)
+	// Stage returns how far a process has left.
+	Stage(instance string, born int64) departure.Stage
+	// Known reports whether the departures that the previous process of this node confirmed are known.
+	Known() bool
+}
+
 // Registry holds the current announcement of the upstream on this host.
 type Registry struct {
-	events *events.Recorder
+	events     *events.Recorder
+	departures Departures
 
 	mu       sync.Mutex
 	current  Announcement
 	renewed  time.Time
 	present  bool
 	draining bool
-	onChange func(a Announcement, present, draining bool)
+	// held is an announcement that waits until the departures are known, if its Instance is set; heldSince is when its
+	// process first announced itself.
+	held      Announcement
+	heldSince time.Time
+	onChange  func(a Announcement, present, draining bool)
 }
 
 // NewRegistry returns a registry without an upstream. onChange is called, with the registry's lock held, when the
 // upstream appears, is replaced, starts to drain or expires.
-func NewRegistry(ev *events.Recorder, onChange func(a Announcement, present, draining bool)) *Registry {
-	return &Registry{events: ev, onChange: onChange}
+func NewRegistry(departures Departures, ev *events.Recorder, onChange func(a Announcement, present, draining bool)) *Registry {
+	return &Registry{departures: departures, events: ev, onChange: onChange}
 }
 
-// Announce stores or renews an announcement. It returns an error when the announcement is invalid.
+// Announce stores or renews an announcement; a late one of a process that has left is ignored. It returns an error when
+// the announcement is invalid.
 func (r *Registry) Announce(a Announcement) error {
 	if err := a.Validate(); err != nil {
 		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.renewed = time.Now()
-	if r.present && r.current == a {
-		return nil
+	known := r.present && r.current.Instance == a.Instance
+	switch {
+	case r.departures.Stage(a.Instance, 0) != departure.None:
+		if known {
+			r.renewed = time.Now()
+		}
+	case known && r.current == a:
+		r.renewed = time.Now()
+	case known || !r.hold(a):
+		r.accept(a)
+	}
+	return nil
+}
+
+// hold keeps the first announcement to this process while it does not know the departures that its predecessor confirmed:
+// the announcement may be a late one of a process that has left. It reports false if the upstream may get requests: its
+// process has announced itself again, which one that has left does not do.
+func (r *Registry) hold(a Announcement) bool {
+	if r.departures.Known() {
+		return false
 	}
+	if r.held.Instance != a.Instance {
+		r.held, r.heldSince = a, time.Now()
+		r.events.Emit(events.AnnounceHeld, events.Fields{"instance": a.Instance})
+		return true
+	}
+	return time.Since(r.heldSince) < announceInterval/2
+}
+
+// accept makes a the current announcement. r.mu is held.
+func (r *Registry) accept(a Announcement) {
+	r.held = Announcement{}
+	r.renewed = time.Now()
 	r.current, r.present, r.draining = a, true, false
 	r.events.Emit(events.UpstreamAnnounced, events.Fields{"service": a.Service, "version": a.Version, "instance": a.Instance, "slots": a.Slots})
 	r.onChange(a, true, false)
-	return nil
 }
 
-// Drain marks the upstream as draining: it accepts no new requests. An unknown instance is ignored.
+// DeparturesKnown applies the announcement that waits for the departures of the predecessor, unless its process has left.
+func (r *Registry) DeparturesKnown() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.held
+	r.held = Announcement{}
+	if a.Instance != "" && r.departures.Stage(a.Instance, 0) == departure.None {
+		r.accept(a)
+	}
+}
+
+// Departed applies a departure that the previous process of this node confirmed.
+func (r *Registry) Departed(n departure.Notice) { r.drain(n.Instance) }
+
+// Drain marks the upstream as draining: it accepts no new requests. Announcements of an instance that is unknown are
+// ignored from then on. Drain returns when other nodes have the departure, as far as that needs no reply.
 func (r *Registry) Drain(instance string) {
+	if instance == "" {
+		return
+	}
+	r.drain(instance)
+	r.departures.Record(departure.Notice{Instance: instance, Stage: departure.Draining})
+}
+
+func (r *Registry) drain(instance string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.present || r.draining || r.current.Instance != instance {
