zoneorder: an accepted order outlives the node that accepted it

Operators saw: an order to take a zone out, accepted by a node while the log was away, had no effect if the node was killed at once.

Cause: Issue left the order in the node's queue of facts and returned; the first push ran after that.

Change: Issue returns when the fact is written to the connections of four nodes. PublishFact has its own time limit now, so that its two users need none.

--- a/internal/departure/departure.go
+++ b/internal/departure/departure.go
@@ -51,14 +51,12 @@
 	retention = time.Minute
 	// maxNotices bounds the notices about processes of one host; the oldest are dropped first.
 	maxNotices = 64
-	// publishTimeout bounds how long a confirmation waits until the notice is written to open connections.
-	publishTimeout = 10 * time.Millisecond
 )
 
 // Members spreads facts to the other nodes, which hold them.
 type Members interface {
-	// PublishFact stores and spreads a fact, and returns when it is written to connections to other nodes or ctx has ended.
-	PublishFact(ctx context.Context, f gossip.Fact)
+	// PublishFact stores and spreads a fact. It returns when the fact is written to connections to other nodes.
+	PublishFact(f gossip.Fact)
 	SubscribeFacts(f func(gossip.Fact))
 	// FactsSynced returns a channel that is closed once this node has the facts that other nodes held when it started.
 	FactsSynced() <-chan struct{}
@@ -121,9 +119,7 @@
 		t.events.Emit(events.TaskFailed, events.Fields{"reason": err.Error()})
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), publishTimeout)
-	defer cancel()
-	t.members.PublishFact(ctx, gossip.Fact{Kind: factKind, Key: t.host + "/" + n.Instance, Seq: n.sequence(), Body: body,
+	t.members.PublishFact(gossip.Fact{Kind: factKind, Key: t.host + "/" + n.Instance, Seq: n.sequence(), Body: body,
 		Expires: time.Now().Add(retention)})
 }
 
--- a/internal/departure/departure_test.go
+++ b/internal/departure/departure_test.go
@@ -17,9 +17,9 @@
 	synced chan struct{}
 }
 
-func (o *others) PublishFact(_ context.Context, f gossip.Fact) { o.held = append(o.held, f) }
-func (o *others) SubscribeFacts(f func(gossip.Fact))           { o.subs = append(o.subs, f) }
-func (o *others) FactsSynced() <-chan struct{}                 { return o.synced }
+func (o *others) PublishFact(f gossip.Fact)          { o.held = append(o.held, f) }
+func (o *others) SubscribeFacts(f func(gossip.Fact)) { o.subs = append(o.subs, f) }
+func (o *others) FactsSynced() <-chan struct{}       { return o.synced }
 
 // restart returns the members as the next process of the host sees them before it knows any facts.
 func (o *others) restart() *others { return &others{held: o.held, synced: make(chan struct{})} }
--- a/internal/gossip/facts.go
+++ b/internal/gossip/facts.go
@@ -55,9 +55,12 @@
 // so that the fact survives the loss of a zone.
 const publishFanout = 4
 
+// publishTimeout bounds the wait of PublishFact for connections that are not open.
+const publishTimeout = 10 * time.Millisecond
+
 // PublishFact is SetFact for a fact that must survive the end of this process. It returns when the fact is written to the
-// connections to publishFanout members or ctx has ended, and does not wait for replies.
-func (m *Members) PublishFact(ctx context.Context, f Fact) {
+// connections to publishFanout members or after publishTimeout, and does not wait for replies.
+func (m *Members) PublishFact(f Fact) {
 	m.SetFact(f)
 	peers := m.nextPartners(publishFanout)
 	payload := (&updates{Facts: []factWire{factToWire(f)}}).encode()
@@ -70,11 +73,13 @@
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		m.pushTo(context.WithoutCancel(ctx), peers, payload)
+		m.pushTo(context.Background(), peers, payload)
 	}()
+	timeout := time.NewTimer(publishTimeout)
+	defer timeout.Stop()
 	select {
 	case <-written:
-	case <-ctx.Done():
+	case <-timeout.C:
 	}
 }
 
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -322,9 +322,7 @@
 	withCluster(t, 64, 4, func(c *cluster) {
 		victim := address(2, 3)
 		start := time.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		c.members[victim].PublishFact(ctx, Fact{Kind: "k", Key: "a", Seq: 1, Expires: time.Now().Add(time.Minute)})
+		c.members[victim].PublishFact(Fact{Kind: "k", Key: "a", Seq: 1, Expires: time.Now().Add(time.Minute)})
 		if took := time.Since(start); took > linkDelay {
 			t.Errorf("publishing took %v, want at most the %v of one way: it must not wait for replies", took, linkDelay)
 		}
--- a/internal/zoneorder/zoneorder.go
+++ b/internal/zoneorder/zoneorder.go
@@ -41,7 +41,8 @@
 type Members interface {
 	Self() gossip.Member
 	Alive() []gossip.Member
-	SetFact(gossip.Fact)
+	// PublishFact spreads a fact. It returns when the fact outlives this process, as far as that needs no reply.
+	PublishFact(gossip.Fact)
 }
 
 // Store holds the state recorded in the log.
@@ -110,7 +111,7 @@
 		if err != nil {
 			return Receipt{}, err
 		}
-		r.members.SetFact(gossip.Fact{Kind: FactKind, Key: zone, Seq: sequence(order), Body: body, Expires: time.Now().Add(orderExpiry)})
+		r.members.PublishFact(gossip.Fact{Kind: FactKind, Key: zone, Seq: sequence(order), Body: body, Expires: time.Now().Add(orderExpiry)})
 	}
 	receipt := Receipt{Order: order}
 	if out {
--- a/internal/zoneorder/zoneorder_test.go
+++ b/internal/zoneorder/zoneorder_test.go
@@ -155,6 +155,24 @@
 
 // A recorded order that is newer than one issued at a node takes effect on every node, also
 // on those that could not read the log when theirs was issued.
+// An operator's order was accepted while the log was away, and the node that accepted it is killed at once. The order must
+// take effect everywhere.
+func TestAcceptedOrderOutlivesItsNode(t *testing.T) {
+	withMesh(t, func(m *testmesh.Mesh, _ *callers) {
+		m.Log.SetFaults(configlog.Faults{Outage: true})
+		accepting := host(m, 2, 1)
+		if _, err := accepting.Node.OrderZone(testmesh.ZoneName(1), true); err != nil {
+			t.Fatal(err)
+		}
+		accepting.Kill()
+		time.Sleep(evacuationLimit)
+		if n := servedWithin(m, 1, time.Second); n > 0 {
+			t.Errorf("the zone ran %d requests after it was taken out, want 0", n)
+		}
+		m.Log.SetFaults(configlog.Faults{})
+	})
+}
+
 func TestNewerRecordedOrderWins(t *testing.T) {
 	withMesh(t, func(m *testmesh.Mesh, c *callers) {
 		client := operator.NewLogClient(m.Log, "test")
