ingress: bodies of callers count however they are framed, and until the response is written

Seen in a test: 20 unfinished bodies in chunks of 200,000 bytes each were held where 5 fit, 20 requests with such bodies ran at the same time, and two callers that announced large bodies and sent nothing kept the bodies of all others out, with a 503.

Cause: only announced lengths were counted, and only while a body was read. Evidence: TestUnfinishedBodiesStayWithinTheLimit/chunks, TestBodiesOfRunningRequestsCount and TestEndlessRequestsLeaveOtherCallersServed/announced_only fail before.

Change: a body takes memory from the budget as it arrives, or its announced length at once, and returns it with the response. When the memory is exhausted, the largest body that is still being read gives way, with a 503 that is true: nothing was passed on. Bodies up to 4 KB need none. The budget is 20% of the node's memory, as it covers running requests too (before: 15%).

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"celerybank/internal/membudget"
 	"celerybank/internal/routes"
 )
 
@@ -37,8 +38,7 @@
 	Limits func() routes.Limits
 	// BodyBytes is the maximum size of one request body in bytes, also if Limits allows more.
 	BodyBytes int
-	// TotalBodyBytes is the maximum sum of the content lengths of the bodies that are being read. Bodies in
-	// chunks are not counted.
+	// TotalBodyBytes is the maximum sum of the sizes of all bodies, from their reading to the end of the response.
 	TotalBodyBytes int64
 }
 
@@ -47,14 +47,16 @@
 	cfg      Config
 	draining atomic.Bool
 	inflight atomic.Int64
-	bodies   atomic.Int64 // sum of the content lengths in bytes of the bodies that are being read
+	bodies   *membudget.Budget
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
 
 // New returns a server without connections.
-func New(cfg Config) *Server { return &Server{cfg: cfg, conns: map[*conn]struct{}{}} }
+func New(cfg Config) *Server {
+	return &Server{cfg: cfg, bodies: membudget.New(cfg.TotalBodyBytes), conns: map[*conn]struct{}{}}
+}
 
 // Defaults for limits that the configuration does not set, or while there is none. They are the values
 // of the platform's examples.
@@ -149,6 +151,8 @@
 	raw    net.Conn
 	ctx    context.Context
 	cancel context.CancelFunc
+	// chunks counts the bytes of a body in chunks while it is being read.
+	chunks chunkReader
 	// queue has the requests in the order of their arrival, which is that of their responses.
 	queue chan *exchange
 
@@ -169,12 +173,13 @@
 	req  *fasthttp.Request
 	resp *fasthttp.Response
 	done chan struct{} // closed when resp is complete
+	body *membudget.Holder
 	// closeAfter closes the connection after this response.
 	closeAfter bool
 }
 
 func (s *Server) newConn(raw net.Conn) *conn {
-	c := &conn{server: s, raw: raw, queue: make(chan *exchange, maxPipelined)}
+	c := &conn{server: s, raw: raw, chunks: chunkReader{conn: raw}, queue: make(chan *exchange, maxPipelined)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
@@ -186,9 +191,10 @@
 // requests in flight.
 func (c *conn) read() {
 	defer close(c.queue)
-	r := bufio.NewReaderSize(c.raw, c.server.limits().HeaderBytes)
+	r := bufio.NewReaderSize(&c.chunks, c.server.limits().HeaderBytes)
 	for {
-		x := &exchange{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), done: make(chan struct{})}
+		x := &exchange{req: fasthttp.AcquireRequest(), resp: fasthttp.AcquireResponse(), done: make(chan struct{}),
+			body: c.server.bodies.Hold(uncountedBodyBytes, c.interruptRead)}
 		limits := c.server.limits()
 		if err := c.awaitRequest(r, limits); err != nil {
 			c.abort(x)
@@ -392,8 +398,9 @@
 	c.server.mu.Unlock()
 }
 
-// release returns the request and the response of x to their pools.
+// release returns the request and the response of x to their pools, and the memory of the body.
 func release(x *exchange) {
+	x.body.Release()
 	fasthttp.ReleaseRequest(x.req)
 	fasthttp.ReleaseResponse(x.resp)
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"celerybank/internal/membudget"
 	"celerybank/internal/routes"
 )
 
@@ -29,20 +30,63 @@
 	if err := checkFraming(&x.req.Header); err != nil {
 		return err
 	}
-	if n := x.req.Header.ContentLength(); n > 0 {
-		if c.server.bodies.Add(int64(n)) > c.server.cfg.TotalBodyBytes {
-			c.server.bodies.Add(-int64(n))
-			return errBodyMemory
-		}
-		defer c.server.bodies.Add(-int64(n))
+	if err := c.takeBodyMemory(x, limits); err != nil {
+		return err
 	}
+	defer c.chunks.count(nil)
 	if x.req.MayContinue() && c.idle() {
 		if _, err := c.raw.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 			return err
 		}
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	return x.req.ContinueReadBody(r, limits.BodyBytes, false)
+	if x.body.Evicted() {
+		return errBodyMemory // an earlier deadline of interruptRead was overwritten
+	}
+	if err := x.req.ContinueReadBody(r, limits.BodyBytes, false); err != nil && !x.body.Evicted() {
+		return err
+	}
+	if x.body.Pin() != nil {
+		return errBodyMemory
+	}
+	return nil
+}
+
+// uncountedBodyBytes is the size up to which a body needs no memory of the budget.
+const uncountedBodyBytes = 4 << 10
+
+// takeBodyMemory takes the memory of a body with a length. That of a body in chunks is taken as they arrive.
+func (c *conn) takeBodyMemory(x *exchange, limits routes.Limits) error {
+	n := x.req.Header.ContentLength()
+	switch {
+	case n > limits.BodyBytes:
+		return fasthttp.ErrBodyTooLarge
+	case n < 0:
+		c.chunks.count(x.body)
+	case x.body.Take(int64(n)) != nil:
+		return errBodyMemory
+	}
+	return nil
+}
+
+// interruptRead ends the reading of a body that has to give way to others.
+func (c *conn) interruptRead() { _ = c.raw.SetReadDeadline(time.Unix(1, 0)) }
+
+// chunkReader reads from a connection and takes memory for the body in chunks that is being read.
+type chunkReader struct {
+	conn net.Conn
+	body *membudget.Holder
+}
+
+// count takes the memory for what is read from now on from body; nil ends that.
+func (r *chunkReader) count(body *membudget.Holder) { r.body = body }
+
+func (r *chunkReader) Read(b []byte) (int, error) {
+	n, err := r.conn.Read(b)
+	if n > 0 && r.body.Take(int64(n)) != nil {
+		return 0, errBodyMemory
+	}
+	return n, err
 }
 
 // checkFraming rejects requests whose length is ambiguous: two parsers may disagree about where they end,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -61,8 +61,8 @@
 const (
 	// maxBodyBytes bounds a request's body to what a message between nodes can carry.
 	maxBodyBytes = 15 << 20
-	// bodyMemoryFraction is the fraction of the memory limit that the request bodies being read may occupy.
-	bodyMemoryFraction = 0.15
+	// bodyMemoryFraction is the fraction of the memory limit that the request bodies of callers may occupy.
+	bodyMemoryFraction = 0.2
 	// responseMemoryFraction is the fraction of the memory limit that the responses being read may occupy; their
 	// buffers take up to twice as much while they grow.
 	responseMemoryFraction = 0.15
