peer: the frames of all connections share one memory limit

A faulty node could send frames of 16 MB on any number of connections; each was read, and its buffer kept until the next frame. The server ended for good at the first failed accept, as when many connections have used up the file descriptors.

Change: frames being read and the arguments of running calls share a budget. A frame that does not fit ends its connection, the largest first; frames up to 64 KB need none. A large buffer is dropped with its frame. Accepts are tried again.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"celerybank/internal/distribution"
 	"celerybank/internal/events"
 	"celerybank/internal/gossip"
+	"celerybank/internal/membudget"
 	"celerybank/internal/mesh"
 	"celerybank/internal/peer"
 	"celerybank/internal/proxy"
@@ -59,11 +60,17 @@
 	claims      *claimRoles
 }
 
+// frameMemory bounds the messages of other nodes that are being read or handled, in bytes.
+const frameMemory = 64 << 20
+
 // New assembles a node without starting it.
 func New(cfg settings.Config, log configlog.Log, network peer.Network, ev *events.Recorder) *Node {
 	n := &Node{cfg: cfg, network: network, events: ev, traffic: newTraffic()}
 	n.pool = peer.NewPool(network, ev, n.traffic.count)
 	n.server = peer.NewServer(ev, n.traffic.count)
+	frames := membudget.New(frameMemory)
+	n.pool.SetMemory(frames)
+	n.server.SetMemory(frames)
 	self := gossip.Member{Addr: cfg.Listen.Peers, Name: cfg.Name, Zone: cfg.Zone, Region: cfg.Region,
 		Admin: cfg.Listen.Admin, Callers: cfg.Listen.Callers}
 	n.members = gossip.New(gossip.Config{Self: self, Seeds: cfg.Seeds, Peers: n.pool, Log: log, Events: ev,
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -15,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"celerybank/internal/events"
+	"celerybank/internal/membudget"
 )
 
 // MaxFrame is the maximum size of one frame in bytes, without its length prefix, in both directions.
@@ -57,17 +58,25 @@
 	buf    []byte // reused for each frame
 	body   bytes.Reader
 	decode *msgpack.Decoder
+	// held is the memory of the frame in buf.
+	held *membudget.Holder
 }
 
 // readBufferSize is the size of each connection's read buffer in bytes. It is small because a node
 // holds many connections.
 const readBufferSize = 2 << 10
 
-func newCodec(conn net.Conn, clock *events.Clock, onBytes func(string, bool, int)) *codec {
+func newCodec(conn net.Conn, clock *events.Clock, memory *membudget.Budget, onBytes func(string, bool, int)) *codec {
 	if onBytes == nil {
 		onBytes = func(string, bool, int) {}
 	}
-	return &codec{conn: conn, clock: clock, in: bufio.NewReaderSize(conn, readBufferSize), onBytes: onBytes, decode: msgpack.NewDecoder(nil)}
+	return &codec{conn: conn, clock: clock, in: bufio.NewReaderSize(conn, readBufferSize), onBytes: onBytes,
+		decode: msgpack.NewDecoder(nil), held: holdFrame(memory, conn)}
+}
+
+// holdFrame returns the holder of the memory of one frame. A frame that has to give way to others ends its connection.
+func holdFrame(memory *membudget.Budget, conn net.Conn) *membudget.Holder {
+	return memory.Hold(readChunkSize, func() { _ = conn.Close() })
 }
 
 // errEncode reports a message that cannot be encoded; none of its bytes were sent.
@@ -153,11 +162,13 @@
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
+		c.releaseFrame()
 		return h, errors.Wrap(err, "truncated frame")
 	}
 	c.body.Reset(c.buf)
 	c.decode.Reset(&c.body)
 	if err = c.decode.Decode(&h); err != nil {
+		c.releaseFrame()
 		return h, errors.Errorf("frame header: %v", err)
 	}
 	c.clock.Observe(h.Stamp)
@@ -175,13 +186,14 @@
 
 // readFrame reads n bytes into c.buf.
 func (c *codec) readFrame(n int) error {
-	if cap(c.buf) > maxRetainedBuffer {
-		c.buf = nil
-	}
+	c.releaseFrame()
 	c.buf = slices.Grow(c.buf[:0], min(n, readChunkSize))
 	for len(c.buf) < n {
 		start := len(c.buf)
 		step := min(n-start, readChunkSize)
+		if err := c.held.Take(int64(step)); err != nil {
+			return err
+		}
 		c.buf = slices.Grow(c.buf, step)[:start+step]
 		if _, err := io.ReadFull(c.in, c.buf[start:]); err != nil {
 			return err
@@ -190,8 +202,22 @@
 	return nil
 }
 
-// readBody decodes the body of the frame that readHeader read last.
+// releaseFrame drops the frame that was read last, and its buffer if it is large.
+func (c *codec) releaseFrame() {
+	c.held.Release()
+	if cap(c.buf) > maxRetainedBuffer {
+		c.buf = nil
+		c.body.Reset(nil)
+	}
+}
+
+// readBody decodes the body of the frame that readHeader read last, and drops the frame. A nil v discards the body.
 func (c *codec) readBody(v any) error {
+	defer c.releaseFrame()
+	return c.decodeBody(v)
+}
+
+func (c *codec) decodeBody(v any) error {
 	if v == nil {
 		return nil
 	}
@@ -262,8 +288,11 @@
 type serverCodec struct {
 	*codec
 	onMalformed func(error)
-	// calls tracks the calls in progress.
-	calls *calls
+	// calls tracks the calls in progress, and running the memory of their arguments.
+	calls   *calls
+	running *callMemory
+	// memory bounds the frames that are read.
+	memory *membudget.Budget
 	// process is in the reply to a heartbeat that asks for it.
 	process uint64
 	// notified has the handlers of notifications by method.
@@ -291,6 +320,7 @@
 		return err
 	}
 	r.ServiceMethod, r.Seq = h.Method, h.Seq
+	c.running.seq = h.Seq
 	c.calls.started(h.Method)
 	return nil
 }
@@ -320,12 +350,50 @@
 	go answer()
 }
 
-func (c serverCodec) ReadRequestBody(v any) error { return c.readBody(v) }
+// ReadRequestBody decodes the arguments of a call. Their memory is held until the call ends.
+func (c serverCodec) ReadRequestBody(v any) error {
+	err := c.decodeBody(v)
+	if v != nil && err == nil && len(c.buf) > readChunkSize && c.held.Pin() == nil {
+		c.running.add(c.held)
+		c.held = holdFrame(c.memory, c.conn)
+	}
+	c.releaseFrame()
+	return err
+}
+
+// callMemory has the memory of the arguments of the calls in progress on one connection.
+type callMemory struct {
+	// seq is the number of the call that is being read; only the reader uses it.
+	seq uint64
+
+	mu    sync.Mutex
+	bySeq map[uint64]*membudget.Holder
+}
+
+// add keeps the memory of the call that is being read until the call has ended.
+func (m *callMemory) add(held *membudget.Holder) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.bySeq == nil {
+		m.bySeq = map[uint64]*membudget.Holder{}
+	}
+	old := m.bySeq[m.seq]
+	m.bySeq[m.seq] = held
+	old.Release() // of a peer that uses a number twice
+}
+
+func (m *callMemory) release(seq uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.bySeq[seq].Release()
+	delete(m.bySeq, seq)
+}
 
 // WriteResponse sends the reply to one call. A reply that is too large or cannot be encoded is replaced
 // by an error reply.
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	defer c.calls.finished(r.ServiceMethod)
+	c.running.release(r.Seq)
 	err := c.write(header{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
 	if errors.Is(err, ErrTooLarge) || errors.Is(err, errEncode) {
 		err = c.write(header{Method: r.ServiceMethod, Seq: r.Seq, Error: err.Error()}, struct{}{})
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"celerybank/internal/events"
+	"celerybank/internal/membudget"
 )
 
 // Network opens and accepts connections. Tests substitute one that injects faults.
@@ -76,6 +77,8 @@
 	network Network
 	events  *events.Recorder
 	traffic Traffic
+	// memory bounds the frames that are read; nil sets no bound.
+	memory *membudget.Budget
 	// dialCtx bounds the dials in progress; Close cancels it.
 	dialCtx     context.Context
 	cancelDials context.CancelFunc
@@ -93,6 +96,9 @@
 	return p
 }
 
+// SetMemory bounds the frames that are read on all connections together. Call it before the first call.
+func (p *Pool) SetMemory(m *membudget.Budget) { p.memory = m }
+
 // Call performs one RPC. An error that wraps ErrNotSent means that the peer cannot have executed the
 // call; an rpc.ServerError is the peer's own reply; after any other error, such as a LostError, the call
 // may have been executed. After an error, value must not be read: a late reply may still be decoded into it.
@@ -233,7 +239,7 @@
 	c.raw = &activityConn{Conn: raw, last: &c.lastRead}
 	c.lastRead.Store(time.Now().UnixNano())
 	c.expiry = time.AfterFunc(idleTimeout, func() { p.expire(addr, c) })
-	c.codec = newCodec(c.raw, p.events.Clock(), p.traffic)
+	c.codec = newCodec(c.raw, p.events.Clock(), p.memory, p.traffic)
 	c.client = rpc.NewClientWithCodec(clientCodec{codec: c.codec, onPong: c.recordPong, onReply: func() { c.replies.Add(1) }, onMalformed: func(err error) {
 		p.events.Emit(events.PeerFrameMalformed, events.Fields{"peer": addr, "reason": err.Error()})
 	}})
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -55,6 +55,7 @@
 type pair struct {
 	net    *faultnet.Network
 	events *events.Recorder
+	server *Server
 	pool   *Pool
 	stop   func()
 
@@ -72,6 +73,7 @@
 func newPair(t *testing.T, traffic Traffic) *pair {
 	p := &pair{net: faultnet.New(), events: events.New("n", "z", nil)}
 	s := NewServer(p.events, nil)
+	p.server = s
 	if err := s.Register("Proxy", echo{}); err != nil {
 		t.Fatal(err)
 	}
@@ -261,7 +263,7 @@
 			_, _ = far.Write(in)
 			_ = far.Close()
 		}()
-		c := newCodec(near, nil, nil)
+		c := newCodec(near, nil, nil, nil)
 		for {
 			if _, err := c.readHeader(); err != nil {
 				break
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,7 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"celerybank/internal/duration"
 	"celerybank/internal/events"
+	"celerybank/internal/membudget"
 )
 
 // Ping and Pong are the argument and the reply of a heartbeat.
@@ -32,6 +36,8 @@
 	process uint64
 	events  *events.Recorder
 	traffic Traffic
+	// memory bounds the frames that are read and the arguments of the calls in progress; nil sets no bound.
+	memory *membudget.Budget
 	// calls tracks the calls in progress, for Drain.
 	calls calls
 
@@ -56,6 +62,10 @@
 // Register publishes the methods of service under name, by the rules of rpc.Server.RegisterName.
 func (s *Server) Register(name string, service any) error { return s.rpc.RegisterName(name, service) }
 
+// SetMemory bounds the frames that are read, and the arguments of the calls in progress, on all connections together. Call it
+// before Serve.
+func (s *Server) SetMemory(m *membudget.Budget) { s.memory = m }
+
 // OnNotify sets the handler of a notification (Pool.Notify), which decodes the arguments. It runs on the goroutine that
 // reads the connection. Call it before Serve. Peers that perform an RPC instead need a service of the same name.
 func (s *Server) OnNotify(method string, handle func(decode func(any) error) error) {
@@ -73,7 +83,11 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			return err
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			duration.Sleep(ctx, acceptRetryDelay) // out of file descriptors, or the connection was reset already
+			continue
 		}
 		if !s.track(c) {
 			_ = c.Close()
@@ -88,9 +102,13 @@
 	malformed := func(err error) {
 		s.events.Emit(events.PeerFrameMalformed, events.Fields{"peer": c.RemoteAddr().String(), "reason": err.Error()})
 	}
-	s.rpc.ServeCodec(serverCodec{newCodec(idleConn{c}, s.events.Clock(), s.traffic), malformed, &s.calls, s.process, s.notified})
+	s.rpc.ServeCodec(serverCodec{codec: newCodec(idleConn{c}, s.events.Clock(), s.memory, s.traffic), onMalformed: malformed,
+		calls: &s.calls, running: &callMemory{}, memory: s.memory, process: s.process, notified: s.notified})
 }
 
+// acceptRetryDelay is the delay after a failed accept.
+const acceptRetryDelay = 5 * time.Millisecond
+
 // idleConn fails its reads when nothing arrives for serverIdleTimeout.
 type idleConn struct{ net.Conn }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -66,6 +66,8 @@
 	// responseMemoryFraction is the fraction of the memory limit that the responses being read may occupy; their
 	// buffers take up to twice as much while they grow.
 	responseMemoryFraction = 0.15
+	// frameMemoryFraction is the fraction of the memory limit that messages from other nodes may occupy.
+	frameMemoryFraction = 0.15
 	// controlBytesPerSecond bounds a node's outgoing membership traffic, for the fleet size expected in two years.
 	controlBytesPerSecond = 17_000
 )
@@ -81,6 +83,9 @@
 	operator := platform.NewOperator(n.store)
 	n.pool = peer.NewPool(network, ev, nil)
 	n.server = peer.NewServer(ev, nil)
+	frames := membudget.New(int64(frameMemoryFraction * float64(s.MemoryBytes)))
+	n.pool.SetMemory(frames)
+	n.server.SetMemory(frames)
 	n.members = gossip.New(gossip.Config{Self: gossip.Member{Addr: s.Peers, Name: s.Name, Zone: s.Zone, Region: s.Region},
 		Peers: n.pool.Repeating(), Events: ev, BytesPerSecond: controlBytesPerSecond})
 	n.hosts = platform.NewHosts(n.store)
