--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -260,7 +260,23 @@
 		Concurrency: auxConcurrency, MaxRequestBodySize: platform.MaxAnnouncementBytes, ReadBufferSize: 4 << 10, Logger: discardLogger{}}
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
-	_ = s.Serve(l) // ends when the listener is closed
+	_ = s.Serve(retryingListener{l}) // ends when the listener is closed
+}
+
+// retryingListener accepts again after a failure, as when the process is out of file descriptors for a moment.
+type retryingListener struct{ net.Listener }
+
+// acceptRetryDelay is the delay after a failed accept.
+const acceptRetryDelay = 5 * time.Millisecond
+
+func (l retryingListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		time.Sleep(acceptRetryDelay)
+	}
 }
 
 // discardLogger drops the HTTP library's log lines; relevant faults are emitted as events.
