upstream: a status that is no final one is not passed on

Cause: a spoiled status line was forwarded. fasthttp skips status 100 only, and reads no body after any status below 200.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -28,8 +28,8 @@
 	NotExecutedHeader = "X-Not-Executed"
 )
 
-// maxMismatched bounds the late responses of earlier exchanges that are dropped before the one that
-// belongs to the request.
+// maxMismatched bounds the late responses of earlier exchanges and the interim responses that are dropped before the one
+// that belongs to the request.
 const maxMismatched = 2
 
 // ErrMismatchedResponse reports a connection that delivers responses to other requests.
@@ -41,6 +41,10 @@
 // ErrTooLarge reports a response whose head or body exceeds the size limit.
 var ErrTooLarge = errors.New("response exceeds the size limit")
 
+// ErrInvalidStatus reports a response whose status is neither interim nor final, or switches to a protocol that no request asked
+// for.
+var ErrInvalidStatus = errors.New("response with an invalid status")
+
 // dialTimeout bounds the opening of a connection, which is always within the host.
 const dialTimeout = 500 * time.Millisecond
 
@@ -175,7 +179,7 @@
 	switch {
 	case inTime && err == nil && !evicted && !resp.ConnectionClose() && conn.reusable():
 		c.release(conn)
-	case inTime && err != nil && !errors.Is(err, ErrTooLarge) && !errors.Is(err, ErrUnproven):
+	case inTime && err != nil && !errors.Is(err, ErrTooLarge) && !errors.Is(err, ErrUnproven) && !errors.Is(err, ErrInvalidStatus):
 		c.closeBroken(conn)
 	default:
 		c.discard(conn)
@@ -207,6 +211,13 @@
 		if v, err := c.readResponse(conn, req, resp); err != nil {
 			return v, err
 		}
+		switch code := resp.StatusCode(); {
+		case code == fasthttp.StatusSwitchingProtocols || code < fasthttp.StatusContinue || code > maxStatus:
+			return verdict.MayHaveRun, ErrInvalidStatus
+		case code < fasthttp.StatusOK: // interim: the response follows
+			resp.Reset()
+			continue
+		}
 		m := c.dialect.match(req, resp)
 		fresh := !conn.reused
 		conn.reused, conn.spoiled = true, conn.spoiled || m != matchSame
@@ -218,6 +229,9 @@
 	return verdict.MayHaveRun, ErrMismatchedResponse
 }
 
+// maxStatus is the highest status of a response.
+const maxStatus = 599
+
 // readResponse reads one complete response.
 func (c *Client) readResponse(conn *clientConn, req *fasthttp.Request, resp *fasthttp.Response) (verdict.Verdict, error) {
 	resp.SkipBody = req.Header.IsHead()
