testmesh: the goroutine that announces an upstream reads its node atomically

The race detector found it in TestAcceptedLeaveBindsTheNextProcess, the first test that starts a node again while its upstream runs: Start replaced Host.Node while the upstream's goroutine read it. A fault of the test mesh only; the test passes under the race detector now.

--- a/internal/testmesh/testmesh.go
+++ b/internal/testmesh/testmesh.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,7 +42,9 @@
 	Events   *events.Recorder
 	Upstream *standin.Server
 
-	mesh         *Mesh
+	mesh *Mesh
+	// running is Node, for the goroutine that announces the upstream while the node is restarted.
+	running      atomic.Pointer[node.Node]
 	stop         context.CancelFunc
 	done         sync.WaitGroup
 	stopUpstream context.CancelFunc
@@ -94,6 +97,7 @@
 	}
 	host.Events = events.New(cfg.Name, cfg.Zone, nil)
 	host.Node = node.New(cfg, log, m.Net.Host(ip), host.Events)
+	host.running.Store(host.Node)
 	ctx, cancel := context.WithCancel(context.Background())
 	host.stop = cancel
 	n := host.Node
@@ -143,7 +147,7 @@
 	a := upstream.Announcement{Service: cfg.Service, Version: cfg.Version, Address: addr, Slots: cfg.Slots, Instance: instance}
 	tasks.Go(func() {
 		for ctx.Err() == nil {
-			if err := h.Node.Announce(a); err != nil {
+			if err := h.running.Load().Announce(a); err != nil {
 				h.mesh.T.Errorf("announce: %v", err)
 			}
 			select {
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -345,9 +345,9 @@
 		memory := membudget.New(limit)
 		c := NewClient(rawAddr, network.Host("10.0.0.1"), bodies+1, 15<<20, nil).SetDialect(idDialect).SetResponseMemory(memory)
 		ctx, cancel := context.WithCancel(t.Context())
-		var hogs sync.WaitGroup
+		var faulty sync.WaitGroup
 		for range bodies {
-			hogs.Go(func() {
+			faulty.Go(func() {
 				for ; ctx.Err() == nil; time.Sleep(time.Millisecond) {
 					_, _, _ = exchange(c, "/", "a")
 				}
@@ -368,7 +368,7 @@
 			t.Errorf("%d of %d responses were not read beside endless bodies, want 0", failed, requests)
 		}
 		cancel()
-		hogs.Wait()
+		faulty.Wait()
 		if memory.Used() != 0 {
 			t.Errorf("%d bytes were not returned, want 0", memory.Used())
 		}
