delivery: requests wait in order of arrival, and are refused when it is known

Seen by callers: of two routes with the same deadline and priority, the one with the shorter target latency was served clearly less often under overload, and most refusals of it came in the last tenth of its callers' time.

Cause: the gate queued by rank and then by who can still meet the target latency, so newcomers passed older requests, which starved until their deadlines; the expected wait counted in order of arrival and was then wrong. First offers were refused at a tenth of the time left to the target. The work left was 0.7 of the mean of all routes.

Change: order by rank, then arrival. A request is refused when expected wait and the likely processing time on its own route (mean and two mean deviations) exceed its caller's time; queued ones when the expected ones do. In a queue that has been standing for longer than the caller's time only one request for each slot waits: a longer one serves nobody more. A cancelled request's time no longer counts as a processing time. The queue's bound by slots is gone, 512 bounds memory.

Tests: slotRequest has no target any more. TestQueuedRequestIsRefusedBeforeItsDeadline gives its caller 150 instead of 100 ms, as 100 ms is now too short for the assumed work and wait; its assertions stand. The refusal of TestRequestThatWouldBeLateIsRefusedAtOnce must name at least the wait of the queue, 200 ms, where 50 ms were enough. TestLeaveInAResponseIsReported sends at a higher rank, as its other callers keep the queue standing.

--- a/internal/delivery/cold_test.go
+++ b/internal/delivery/cold_test.go
@@ -186,7 +186,7 @@
 	for range 40 {
 		callers.Go(func() {
 			for ctx.Err() == nil {
-				res := o.Handle(ctx, &proxy.Request{Service: "stock", Timeout: time.Second, Target: time.Second, Idempotent: true, WaitToDeadline: true})
+				res := o.Handle(ctx, &proxy.Request{Service: "stock", Timeout: time.Second, Idempotent: true, WaitToDeadline: true})
 				if res.Verdict == verdict.NotRun {
 					time.Sleep(10 * time.Millisecond)
 				}
--- a/internal/delivery/endless_test.go
+++ b/internal/delivery/endless_test.go
@@ -86,7 +86,7 @@
 					if o.StillServes(a) {
 						t.Error("an endless response passed as a health check")
 					}
-					res := o.Handle(ctx, &proxy.Request{Service: "stock", Timeout: time.Second, Target: time.Second, Idempotent: true, WaitToDeadline: true})
+					res := o.Handle(ctx, &proxy.Request{Service: "stock", Timeout: time.Second, Idempotent: true, WaitToDeadline: true})
 					if res.Verdict != verdict.Ran || res.Status != 200 {
 						t.Errorf("a request beside endless responses: got verdict %v, status %d, reason %v; want it served", res.Verdict, res.Status, res.Reason)
 					}
--- a/internal/delivery/gate.go
+++ b/internal/delivery/gate.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,10 +18,13 @@
 type SlotRequest struct {
 	// Rank orders queued requests; the lowest goes first.
 	Rank int
-	// Deadline is when the caller's timeout expires; from Target on a response counts as late.
-	Deadline, Target time.Time
-	// WaitToDeadline lets the request wait as long as its deadline allows. Others are refused when
-	// the expected wait exceeds shortWaitFraction of the time left to their target.
+	// Route is the name of the request's route, whose processing time is the work left.
+	Route string
+	// Deadline is when the caller's timeout expires.
+	Deadline time.Time
+	// MaxWait is the longest expected wait for which no other upstream is a better choice. A request with
+	// WaitToDeadline has no other choice and waits as long as its deadline allows.
+	MaxWait        time.Duration
 	WaitToDeadline bool
 	// RateLimit is what the entry node has heard of the limit that the upstream names.
 	RateLimit ratelimit.Hint
@@ -32,36 +36,22 @@
 	RetryAfter time.Duration
 }
 
-// Limits of the queue.
-const (
-	// shortWaitFraction is the fraction of the time left to its target that a request waits while
-	// another upstream may have a free slot. It is below one eighth, because a refusal within an eighth
-	// of the target has no cost for the caller.
-	shortWaitFraction = 0.1
-	// minTimeFactor is how many mean processing times must be left before its deadline for a request
-	// to start.
-	minTimeFactor = 0.7
-	// maxQueuedPerSlot limits the queue for each slot, in addition to the deadlines.
-	maxQueuedPerSlot = 6
-	// initialMeanTime is assumed before the first response.
-	initialMeanTime = 50 * time.Millisecond
-	// meanWeight is the weight of a new processing time in the mean.
-	meanWeight = 0.1
-	// minRetryAfter is the minimum Retry-After of a refusal.
-	minRetryAfter = 50 * time.Millisecond
-)
+// maxQueued bounds the memory of the queue. The deadlines of the requests limit it long before.
+const maxQueued = 512
 
-// Gate is the only counter of an upstream's slots, and therefore exact. It queues requests for the
-// slots by rank, then by whether they can still meet their target, then by arrival (a bounded priority
-// queue with deadlines).
+// Gate is the only counter of an upstream's slots, and therefore exact. It queues requests for the slots by rank,
+// then by arrival, and refuses a request as soon as it is known that it cannot be served in the time that its caller
+// has left. A queued request loses its turn to higher ranks only.
 type Gate struct {
 	mu           sync.Mutex
 	open         bool
 	closedReason proxy.Reason // why the gate is closed, while open is false
 	slots        int
 	running      int
-	queue        []*queuedRequest
-	meanTime     time.Duration // mean processing time
+	queue        []*queuedRequest // in the order of their turns
+	// standingSince is when the queue was last empty.
+	standingSince time.Time
+	work          workEstimates
 	// admission spaces admissions, in the order of ranks. sending spaces the sends that follow, as
 	// a host may stall after several admissions and then send them all at once.
 	admission, sending pacing
@@ -70,15 +60,9 @@
 	timer    *time.Timer
 }
 
-type queuedRequest struct {
-	SlotRequest
-	done    chan struct{}
-	refused Refusal
-}
-
 // NewGate returns a Gate that admits nothing until Open.
 func NewGate() *Gate {
-	return &Gate{closedReason: proxy.ReasonNoUpstream, meanTime: initialMeanTime, sendTurn: make(chan struct{}, 1)}
+	return &Gate{closedReason: proxy.ReasonNoUpstream, work: newWorkEstimates(), sendTurn: make(chan struct{}, 1)}
 }
 
 // Open admits up to slots concurrent requests and, until coldUntil, coldRate requests per second.
@@ -146,13 +130,13 @@
 		g.mu.Unlock()
 		return Refusal{}, true
 	}
-	if refusal := g.refuseEarly(r, now); refusal.Reason != proxy.ReasonNone {
+	g.refuseUnservable(now)
+	w, refusal := g.enqueue(r, now)
+	if w == nil {
 		g.mu.Unlock()
 		return refusal, false
 	}
-	w := &queuedRequest{SlotRequest: r, done: make(chan struct{})}
-	g.queue = append(g.queue, w)
-	g.armTimer(now)
+	g.admitQueued(now)
 	g.mu.Unlock()
 	select {
 	case <-w.done:
@@ -167,125 +151,46 @@
 func (g *Gate) dequeue(w *queuedRequest, ctx context.Context) (Refusal, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for i, x := range g.queue {
-		if x == w {
-			g.queue = append(g.queue[:i], g.queue[i+1:]...)
-			reason := proxy.ReasonCancelled
-			if ctx.Err() == context.DeadlineExceeded {
-				reason = proxy.ReasonTooLate
-			}
-			return Refusal{Reason: reason, RetryAfter: g.expectedWait(time.Now(), w.Rank)}, false
-		}
-	}
-	return w.refused, w.refused.Reason == proxy.ReasonNone
-}
-
-// refuseEarly refuses a request that would have to wait too long. The zero Refusal lets it queue.
-func (g *Gate) refuseEarly(r SlotRequest, now time.Time) Refusal {
-	wait := g.expectedWait(now, r.Rank)
-	reason := proxy.ReasonFull
-	switch {
-	case g.admission.cold.cold(now):
-		reason = proxy.ReasonCold
-	case g.admission.named.Wait(now, 0) > 0:
-		reason = proxy.ReasonRateLimited
+	i := slices.Index(g.queue, w)
+	if i < 0 {
+		return w.refused, w.refused.Reason == proxy.ReasonNone
 	}
-	switch {
-	case len(g.queue) >= g.slots*maxQueuedPerSlot:
-	case now.Add(wait + g.minTime()).After(r.Deadline):
-		reason = proxy.ReasonTooLate
-	case !r.WaitToDeadline && wait > time.Duration(shortWaitFraction*float64(r.Target.Sub(now))):
-	default:
-		return Refusal{}
+	g.queue = slices.Delete(g.queue, i, i+1)
+	if ctx.Err() == context.DeadlineExceeded {
+		return Refusal{Reason: proxy.ReasonTooLate}, false
 	}
-	return Refusal{Reason: reason, RetryAfter: retryAfter(wait)}
+	return Refusal{Reason: proxy.ReasonCancelled}, false
 }
 
-// retryAfter returns a random Retry-After between one and two times the expected wait, so that callers
-// that retry do not arrive at once.
-func retryAfter(wait time.Duration) time.Duration {
-	wait = max(wait, minRetryAfter)
+// retryAfter returns when a refused caller may expect room: a random time between one and two times the expected
+// wait, at least the time in which one slot is released, so that callers that retry do not arrive at once.
+func (g *Gate) retryAfter(wait time.Duration) time.Duration {
+	wait = max(wait, g.work.all.mean/time.Duration(max(g.capacity(), 1)), 1)
 	return wait + rand.N(wait)
 }
 
-// minTime is the time that must be left before its deadline for a request to start.
-func (g *Gate) minTime() time.Duration { return time.Duration(minTimeFactor * float64(g.meanTime)) }
-
-// expectedWait estimates how long a new request of a rank would wait for a slot.
-func (g *Gate) expectedWait(now time.Time, rank int) time.Duration {
-	ahead := 0
-	for _, w := range g.queue {
-		if w.Rank <= rank {
-			ahead++
-		}
-	}
-	wait := time.Duration(0)
-	capacity := g.capacity()
-	if free := capacity - g.running; ahead >= free {
-		// All slots are released once, evenly spaced, within one mean processing time (Little 1961).
-		wait = time.Duration(float64(g.meanTime) * float64(ahead-free+1) / float64(max(capacity, 1)))
-	}
-	return max(wait, g.admission.wait(now, ahead))
-}
-
-// Release returns a slot. took is the upstream's processing time of the request, 0 when unknown.
-func (g *Gate) Release(took time.Duration) {
+// Release returns a slot. took is the upstream's processing time of the request on the route, 0 when unknown.
+func (g *Gate) Release(route string, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
 	if took > 0 {
-		g.meanTime += time.Duration(meanWeight * float64(took-g.meanTime))
+		g.work.add(route, took)
 	}
 	g.admitQueued(time.Now())
 }
 
-// admitQueued gives free slots to queued requests, and refuses those that can no longer meet their
-// deadline.
+// admitQueued refuses the queued requests that can no longer be served and gives free slots to the others.
 func (g *Gate) admitQueued(now time.Time) {
-	g.refuseLate(now)
+	g.refuseUnservable(now)
 	for g.open && len(g.queue) > 0 && g.running < g.capacity() && g.admission.admit(now) {
-		i := g.first(now)
-		w := g.queue[i]
-		g.queue = append(g.queue[:i], g.queue[i+1:]...)
+		close(g.queue[0].done)
+		g.queue = slices.Delete(g.queue, 0, 1)
 		g.running++
-		close(w.done)
 	}
 	g.armTimer(now)
 }
 
-func (g *Gate) refuseLate(now time.Time) {
-	kept := g.queue[:0]
-	for _, w := range g.queue {
-		if now.Add(g.minTime()).After(w.Deadline) {
-			w.refused = Refusal{Reason: proxy.ReasonTooLate, RetryAfter: retryAfter(g.expectedWait(now, w.Rank))}
-			close(w.done)
-			continue
-		}
-		kept = append(kept, w)
-	}
-	clear(g.queue[len(kept):])
-	g.queue = kept
-}
-
-// first returns the index of the queued request to admit next.
-func (g *Gate) first(now time.Time) int {
-	best := 0
-	for i := 1; i < len(g.queue); i++ {
-		if g.before(g.queue[i], g.queue[best], now) {
-			best = i
-		}
-	}
-	return best
-}
-
-func (g *Gate) before(a, b *queuedRequest, now time.Time) bool {
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
-	}
-	lateA, lateB := now.Add(g.minTime()).After(a.Target), now.Add(g.minTime()).After(b.Target)
-	return !lateA && lateB // otherwise arrival order decides
-}
-
 // armTimer schedules admitQueued for the time when the next request may be admitted.
 func (g *Gate) armTimer(now time.Time) {
 	if len(g.queue) == 0 || !g.admission.active(now) || g.running >= g.capacity() {
@@ -308,8 +213,8 @@
 func (g *Gate) Load() proxy.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	limit := g.admission.slots(time.Now(), g.meanTime, g.slots)
-	return proxy.Load{InUse: g.running + len(g.queue), Limit: max(limit, 1), Draining: !g.open, MeanTime: g.meanTime, RateLimit: g.admission.named.Hint()}
+	limit := g.admission.slots(time.Now(), g.work.all.mean, g.slots)
+	return proxy.Load{InUse: g.running + len(g.queue), Limit: max(limit, 1), Draining: !g.open, MeanTime: g.work.all.mean, RateLimit: g.admission.named.Hint()}
 }
 
 // Running returns the number of requests that hold a slot.
--- a/internal/delivery/gate_test.go
+++ b/internal/delivery/gate_test.go
@@ -16,9 +16,9 @@
 	"celerybank/internal/proxy"
 )
 
-func slotRequest(rank int, deadline, target time.Duration) SlotRequest {
+func slotRequest(rank int, deadline time.Duration) SlotRequest {
 	now := time.Now()
-	return SlotRequest{Rank: rank, Deadline: now.Add(deadline), Target: now.Add(target), WaitToDeadline: true}
+	return SlotRequest{Rank: rank, Deadline: now.Add(deadline), WaitToDeadline: true}
 }
 
 // Scenario: all slots are in use and requests of several ranks are queued. The lowest rank goes first.
@@ -26,14 +26,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGate()
 		g.Open(1, time.Time{}, 0)
-		if _, ok := g.Acquire(t.Context(), slotRequest(0, time.Minute, time.Minute)); !ok {
+		if _, ok := g.Acquire(t.Context(), slotRequest(0, time.Minute)); !ok {
 			t.Fatal("got no slot from a gate with one free slot")
 		}
 		var mu sync.Mutex
 		var order []int
 		for _, rank := range []int{2, 1, 2, -1, 0, 1} {
 			go func() {
-				if _, ok := g.Acquire(t.Context(), slotRequest(rank, time.Minute, time.Minute)); ok {
+				if _, ok := g.Acquire(t.Context(), slotRequest(rank, time.Minute)); ok {
 					mu.Lock()
 					order = append(order, rank)
 					mu.Unlock()
@@ -42,7 +42,7 @@
 			synctest.Wait()
 		}
 		for range 6 {
-			g.Release(10 * time.Millisecond)
+			g.Release("", 10*time.Millisecond)
 			synctest.Wait()
 		}
 		if !slices.Equal(order, []int{-1, 0, 1, 1, 2, 2}) {
@@ -56,24 +56,24 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGate()
 		g.Open(1, time.Time{}, 0)
-		g.Acquire(t.Context(), slotRequest(0, time.Minute, time.Minute))
+		g.Acquire(t.Context(), slotRequest(0, time.Minute))
 		for range 3 {
-			go g.Acquire(t.Context(), slotRequest(0, time.Minute, time.Minute))
+			go g.Acquire(t.Context(), slotRequest(0, time.Minute))
 			synctest.Wait()
 		}
 		start := time.Now()
-		refused, ok := g.Acquire(t.Context(), slotRequest(0, initialMeanTime, initialMeanTime))
-		if ok || refused.Reason != proxy.ReasonTooLate || refused.RetryAfter < minRetryAfter || time.Since(start) > 0 {
+		refused, ok := g.Acquire(t.Context(), slotRequest(0, initialMeanTime))
+		if ok || refused.Reason != proxy.ReasonTooLate || refused.RetryAfter < 4*initialMeanTime || time.Since(start) > 0 {
 			t.Errorf("got ok %v, refusal %+v after %v, want %s at once with a RetryAfter", ok, refused, time.Since(start), proxy.ReasonTooLate)
 		}
-		shortWait := slotRequest(0, time.Minute, 200*time.Millisecond)
+		shortWait := slotRequest(0, time.Minute)
 		shortWait.WaitToDeadline = false
 		if refused, ok := g.Acquire(t.Context(), shortWait); ok || refused.Reason != proxy.ReasonFull {
 			t.Errorf("without WaitToDeadline: got ok %v, refusal %+v, want %s", ok, refused, proxy.ReasonFull)
 		}
 		g.Close(proxy.ReasonDraining)
 		synctest.Wait()
-		if refused, ok := g.Acquire(t.Context(), slotRequest(0, time.Minute, time.Minute)); ok || refused.Reason != proxy.ReasonDraining {
+		if refused, ok := g.Acquire(t.Context(), slotRequest(0, time.Minute)); ok || refused.Reason != proxy.ReasonDraining {
 			t.Errorf("after Close: got ok %v, refusal %+v, want %s", ok, refused, proxy.ReasonDraining)
 		}
 	})
@@ -85,18 +85,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGate()
 		g.Open(2, time.Time{}, 0)
-		g.Acquire(t.Context(), slotRequest(0, time.Minute, time.Minute))
-		g.Acquire(t.Context(), slotRequest(0, time.Minute, time.Minute))
+		g.Acquire(t.Context(), slotRequest(0, time.Minute))
+		g.Acquire(t.Context(), slotRequest(0, time.Minute))
 		var refused Refusal
 		var waited time.Duration
 		go func() {
 			start := time.Now()
-			refused, _ = g.Acquire(t.Context(), slotRequest(0, 100*time.Millisecond, time.Minute))
+			refused, _ = g.Acquire(t.Context(), slotRequest(0, 150*time.Millisecond))
 			waited = time.Since(start)
 		}()
 		synctest.Wait()
 		time.Sleep(80 * time.Millisecond)
-		g.Release(time.Second) // much slower than the initial estimate
+		g.Release("", time.Second) // much slower than the initial estimate
 		synctest.Wait()
 		if refused.Reason != proxy.ReasonTooLate || waited != 80*time.Millisecond {
 			t.Errorf("got refusal %+v after %v, want %s after 80ms", refused, waited, proxy.ReasonTooLate)
@@ -108,10 +108,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGate()
 		g.Open(1, time.Time{}, 0)
-		g.Acquire(t.Context(), slotRequest(0, time.Minute, time.Minute))
+		g.Acquire(t.Context(), slotRequest(0, time.Minute))
 		ctx, cancel := context.WithCancel(t.Context())
 		var refused Refusal
-		go func() { refused, _ = g.Acquire(ctx, slotRequest(0, time.Minute, time.Minute)) }()
+		go func() { refused, _ = g.Acquire(ctx, slotRequest(0, time.Minute)) }()
 		synctest.Wait()
 		cancel()
 		synctest.Wait()
@@ -182,7 +182,7 @@
 			for range 40 {
 				callers.Go(func() {
 					for ctx.Err() == nil {
-						if _, ok := g.Acquire(ctx, slotRequest(0, time.Minute, time.Minute)); !ok {
+						if _, ok := g.Acquire(ctx, slotRequest(0, time.Minute)); !ok {
 							continue
 						}
 						maybeStall()
@@ -199,7 +199,7 @@
 						arrived = append(arrived, at)
 						mu.Unlock()
 						time.Sleep(20 * time.Millisecond)
-						g.Release(20 * time.Millisecond)
+						g.Release("", 20*time.Millisecond)
 					}
 				})
 			}
@@ -290,14 +290,14 @@
 		for range 30 {
 			callers.Go(func() {
 				for ctx.Err() == nil {
-					if _, ok := g.Acquire(ctx, slotRequest(0, time.Minute, time.Minute)); !ok {
+					if _, ok := g.Acquire(ctx, slotRequest(0, time.Minute)); !ok {
 						continue
 					}
 					mu.Lock()
 					sent = append(sent, time.Now())
 					mu.Unlock()
 					time.Sleep(20 * time.Millisecond)
-					g.Release(20 * time.Millisecond)
+					g.Release("", 20*time.Millisecond)
 				}
 			})
 		}
--- a/internal/delivery/limit_test.go
+++ b/internal/delivery/limit_test.go
@@ -57,7 +57,7 @@
 	g.Open(9, time.Time{}, 0)
 	admitted := 0
 	for range 20 {
-		r := slotRequest(0, 20*time.Millisecond, 20*time.Millisecond)
+		r := slotRequest(0, 20*time.Millisecond)
 		r.RateLimit = ratelimit.Hint(namedLimit * 1000)
 		if _, ok := g.Acquire(t.Context(), r); ok {
 			admitted++
@@ -87,7 +87,8 @@
 		f.upstream.mu.Unlock()
 		time.Sleep(time.Second)
 		for instance, want := range map[string]bool{upstreamID: true, "i-0": false} {
-			res := f.owner.Handle(t.Context(), &proxy.Request{Service: "stock", Instance: instance, Timeout: time.Second, Target: time.Second, WaitToDeadline: true})
+			// Its rank lets the request pass those of the other callers, which keep the queue full.
+			res := f.owner.Handle(t.Context(), &proxy.Request{Service: "stock", Rank: -1, Instance: instance, Timeout: time.Second, WaitToDeadline: true})
 			if res.Leaving != want {
 				t.Errorf("request to %s: leaving %v, want %v", instance, res.Leaving, want)
 			}
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -243,7 +243,7 @@
 		return proxy.Refusal(verdict.NotRun, proxy.ReasonCrashing)
 	}
 	now := time.Now()
-	slot := SlotRequest{Rank: req.Rank, WaitToDeadline: req.WaitToDeadline, Deadline: now.Add(req.Timeout), Target: now.Add(req.Target), RateLimit: req.RateLimit}
+	slot := SlotRequest{Rank: req.Rank, Route: req.Route, Deadline: now.Add(req.Timeout), MaxWait: req.MaxWait, WaitToDeadline: req.WaitToDeadline, RateLimit: req.RateLimit}
 	if refused, ok := o.Gate.Acquire(ctx, slot); !ok {
 		res := proxy.Refusal(verdict.NotRun, refused.Reason)
 		res.RetryAfter = refused.RetryAfter
@@ -251,20 +251,28 @@
 	}
 	// The upstream and its permission may have changed while the request was queued.
 	if cur := o.up.Load(); cur == nil || !cur.SameProcess(up.Announcement) || cur.State != registry.Ready {
-		o.Gate.Release(0)
+		o.Gate.Release(req.Route, 0)
 		return proxy.Refusal(verdict.NotRun, proxy.ReasonReplaced)
 	}
 	if refusal := o.RefusalReason(up.Version); refusal != proxy.ReasonNone {
-		o.Gate.Release(0)
+		o.Gate.Release(req.Route, 0)
 		return proxy.Refusal(verdict.NotRun, refusal)
 	}
 	o.running.add(req)
 	res := o.send(ctx, up, req)
 	o.running.remove(req)
-	o.Gate.Release(res.ProcessingTime)
+	o.Gate.Release(req.Route, processingTime(res))
 	return res
 }
 
+// processingTime returns how long the upstream processed a request, 0 when unknown: the caller cancelled it.
+func processingTime(res *proxy.Response) time.Duration {
+	if res.Reason == proxy.ReasonCancelled {
+		return 0
+	}
+	return res.ProcessingTime
+}
+
 // Parent reports whether the request with this ID is a child request, sent by the upstream of this host
 // for a request that it is running, and whether that parent is a retry. Upstreams prefix the ID of a
 // child request with that of its parent and a dot.
--- a/internal/delivery/owner_test.go
+++ b/internal/delivery/owner_test.go
@@ -35,7 +35,7 @@
 			u.State = registry.Draining
 			o.SetUpstream(u, true)
 			order(o)
-			res := o.Handle(context.Background(), &proxy.Request{Service: "stock", Timeout: time.Second, Target: time.Second})
+			res := o.Handle(context.Background(), &proxy.Request{Service: "stock", Timeout: time.Second})
 			if res.Verdict != verdict.NotRun || res.Reason != proxy.ReasonDraining || !res.Load.Draining {
 				t.Errorf("got verdict %v, reason %s, load %+v, want %v, %s and a draining load", res.Verdict, res.Reason, res.Load, verdict.NotRun, proxy.ReasonDraining)
 			}
@@ -52,7 +52,7 @@
 	o.Drain()
 	o.SetUpstream(u, true)
 	o.Refresh()
-	res := o.Handle(context.Background(), &proxy.Request{Service: "stock", Timeout: time.Second, Target: time.Second})
+	res := o.Handle(context.Background(), &proxy.Request{Service: "stock", Timeout: time.Second})
 	if res.Verdict != verdict.NotRun || res.Reason != proxy.ReasonDraining || !res.Load.Draining {
 		t.Errorf("got verdict %v, reason %s, load %+v, want %v, %s and a draining load", res.Verdict, res.Reason, res.Load, verdict.NotRun, proxy.ReasonDraining)
 	}
@@ -67,7 +67,7 @@
 	u := registry.Upstream{Announcement: registry.Announcement{Service: "stock", Instance: "i-1", Address: "127.0.0.1:9", Slots: 4, ColdFor: time.Minute},
 		ColdUntil: time.Now().Add(time.Minute)}
 	o.SetUpstream(u, true)
-	res := o.Handle(context.Background(), &proxy.Request{Service: "stock", Timeout: time.Second, Target: time.Second})
+	res := o.Handle(context.Background(), &proxy.Request{Service: "stock", Timeout: time.Second})
 	if res.Verdict != verdict.NotRun || res.Reason != proxy.ReasonNotReady {
 		t.Errorf("got verdict %v, reason %s, want %v, %s", res.Verdict, res.Reason, verdict.NotRun, proxy.ReasonNotReady)
 	}
--- /dev/null
+++ b/internal/delivery/queue.go
@@ -0,0 +1,129 @@
+package delivery
+
+import (
+	"slices"
+	"time"
+
+	"celerybank/internal/proxy"
+)
+
+// queuedRequest is a request that waits for a slot. refused is set before done is closed.
+type queuedRequest struct {
+	SlotRequest
+	done    chan struct{}
+	refused Refusal
+}
+
+// backlog adds up the requests ahead of one in the queue, to estimate when its turn comes.
+type backlog struct {
+	gate     *Gate
+	now      time.Time
+	capacity int
+	// free is the number of free slots, ahead that of the requests which take their turn before.
+	free, ahead int
+	// work is the processing time ahead for which no slot is free yet.
+	work time.Duration
+}
+
+func (g *Gate) newBacklog(now time.Time) backlog {
+	b := backlog{gate: g, now: now, capacity: max(g.capacity(), 1)}
+	b.free = b.capacity - g.running
+	if b.free < 0 { // the capacity was lowered
+		b.work, b.free = time.Duration(-b.free)*g.work.all.mean, 0
+	}
+	return b
+}
+
+// add puts a request with the given processing time ahead.
+func (b *backlog) add(work time.Duration) {
+	b.ahead++
+	if b.ahead > b.free {
+		b.work += work
+	}
+}
+
+// wait returns the expected wait of a request that comes after those ahead.
+func (b *backlog) wait() time.Duration {
+	wait := time.Duration(0)
+	if b.ahead >= b.free {
+		// The running requests release all slots once, evenly spaced, within one mean processing time (Little
+		// 1961); those ahead follow.
+		wait = (b.gate.work.all.mean + b.work) / time.Duration(b.capacity)
+	}
+	return max(wait, b.gate.admission.wait(b.now, b.ahead))
+}
+
+// enqueue queues a request by rank, then by arrival, or refuses it because it cannot be served.
+func (g *Gate) enqueue(r SlotRequest, now time.Time) (*queuedRequest, Refusal) {
+	if len(g.queue) == 0 {
+		g.standingSince = now
+	}
+	turn := len(g.queue)
+	for turn > 0 && r.Rank < g.queue[turn-1].Rank {
+		turn--
+	}
+	b := g.newBacklog(now)
+	for _, w := range g.queue[:turn] {
+		b.add(g.work.of(w.Route).mean)
+	}
+	wait := b.wait()
+	if reason := g.refusalReason(r, &b, wait); reason != proxy.ReasonNone {
+		return nil, Refusal{Reason: reason, RetryAfter: g.retryAfter(wait)}
+	}
+	w := &queuedRequest{SlotRequest: r, done: make(chan struct{})}
+	g.queue = slices.Insert(g.queue, turn, w)
+	return w, Refusal{}
+}
+
+// refusalReason returns why a request that would come after the backlog b and wait for wait is refused.
+func (g *Gate) refusalReason(r SlotRequest, b *backlog, wait time.Duration) proxy.Reason {
+	left := r.Deadline.Sub(b.now)
+	switch {
+	case wait+g.work.of(r.Route).likely() > left:
+		return proxy.ReasonTooLate
+	case b.now.Sub(g.standingSince) > left && b.ahead >= b.capacity:
+		// Requests come faster than the upstream processes them for longer than this caller has time, so this is
+		// no burst that the queue can absorb. A longer queue would serve no more callers, only each of them later;
+		// one request for each slot keeps all slots busy.
+		return g.capacityReason(b.now)
+	case !r.WaitToDeadline && wait > r.MaxWait, len(g.queue) >= maxQueued:
+		return g.capacityReason(b.now)
+	default:
+		return proxy.ReasonNone
+	}
+}
+
+// canServe reports whether a queued request whose turn is expected after wait can still end before its deadline.
+func (g *Gate) canServe(w *queuedRequest, wait time.Duration, now time.Time) bool {
+	return !now.Add(wait + g.work.of(w.Route).mean).After(w.Deadline)
+}
+
+// refuseUnservable refuses the queued requests that are not expected to end before their deadlines.
+func (g *Gate) refuseUnservable(now time.Time) {
+	b := g.newBacklog(now)
+	kept := g.queue[:0]
+	for _, w := range g.queue {
+		wait := b.wait()
+		if !g.canServe(w, wait, now) {
+			w.refused = Refusal{Reason: proxy.ReasonTooLate, RetryAfter: g.retryAfter(wait)}
+			close(w.done)
+			continue
+		}
+		b.add(g.work.of(w.Route).mean)
+		kept = append(kept, w)
+	}
+	clear(g.queue[len(kept):])
+	g.queue = kept
+}
+
+// capacityReason says what limits the requests to the upstream at the moment.
+func (g *Gate) capacityReason(now time.Time) proxy.Reason {
+	switch {
+	case g.admission.cold.cold(now):
+		return proxy.ReasonCold
+	case g.admission.named.Wait(now, 0) > 0:
+		return proxy.ReasonRateLimited
+	default:
+		return proxy.ReasonFull
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -205,7 +205,6 @@
 func (d *Dispatcher) send(ctx context.Context, st *requestState, e *balance.Endpoint, waitToDeadline bool) *proxy.Response {
 	r := *st.req
 	r.Version, r.Instance, r.Entry, r.ID, r.WaitToDeadline = e.Version, e.Instance, d.Addr, d.nextID.Add(1), waitToDeadline
-	r.Target = time.Until(st.target)
 	r.RateLimit = e.RateLimit(time.Now())
 	r.Hop.Retry = r.Hop.Retry || st.reached > 0
 	e.Begin()
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -54,11 +54,11 @@
 	Caller    string `msgpack:"c"`
 	// Rank orders queued requests: those with the lowest rank are admitted first.
 	Rank int `msgpack:"j"`
-	// Target is the time left to meet the route's target latency.
-	Target time.Duration `msgpack:"g"`
-	// WaitToDeadline is set when no other upstream is a better choice: the request may then queue until its
-	// deadline.
-	WaitToDeadline bool `msgpack:"x"`
+	// MaxWait is the longest expected wait in the owner's queue for which no other upstream is a better choice;
+	// the owner refuses the request if it is longer. WaitToDeadline is set when there is no other choice: the
+	// request may then queue as long as its deadline allows.
+	MaxWait        time.Duration `msgpack:"g"`
+	WaitToDeadline bool          `msgpack:"x"`
 	// RateLimit is what the entry node has heard of the limit that the upstream names.
 	RateLimit ratelimit.Hint `msgpack:"l"`
 }
--- a/internal/sidecar/suspension_test.go
+++ b/internal/sidecar/suspension_test.go
@@ -38,7 +38,7 @@
 	}
 	n.process.suspension.suspend(3 * time.Second)
 	for range 2 {
-		res := n.owner.Handle(t.Context(), &proxy.Request{Service: "stock", Timeout: time.Second, Target: time.Second})
+		res := n.owner.Handle(t.Context(), &proxy.Request{Service: "stock", Timeout: time.Second})
 		if res.Verdict != verdict.NotRun || (res.Reason != proxy.ReasonNotReady && res.Reason != proxy.ReasonNoUpstream) {
 			t.Errorf("after the suspension: got %v, %s; want %v, %s or %s", res.Verdict, res.Reason, verdict.NotRun, proxy.ReasonNotReady, proxy.ReasonNoUpstream)
 		}
