balance, dispatch: choices follow the expected time to a response, not the target latency

Seen by callers: two requests that differed in the target latency of their routes alone went to different upstreams and waited differently long there; on services with more than four upstreams, a request that four owners had refused as full was refused although each of them could have queued it in its caller's time.

Cause: the unit of the balancer's costs was the worth of a response, with shares of the target latency; owners were told the time left to the target. Only requests with no untried upstream, or no upstream with a free slot, could wait.

Change: the cost is the expected time to the response. A failure counts as the rest of the caller's time. What traffic between zones, a nearly full upstream and an even choice add is stated in processing times of the route. The owner is told for how long it is still the best choice (MaxWait, the advantage over the next one) and refuses when its queue is longer. The last offer has no alternative and waits as long as its caller. Routes keep the target latency, which decides nothing.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -13,6 +13,8 @@
 // Balancer tracks the upstreams of every service and picks one for each request.
 type Balancer struct {
 	zone string
+	// Random returns a number from 0 to 1 that breaks ties.
+	Random func() float64
 
 	mu     sync.Mutex
 	byAddr map[string]*Endpoint
@@ -46,7 +48,7 @@
 
 // New returns a Balancer for a node in zone.
 func New(zone string) *Balancer {
-	return &Balancer{zone: zone, byAddr: map[string]*Endpoint{}, remembered: map[process]remembered{}}
+	return &Balancer{zone: zone, Random: rand.Float64, byAddr: map[string]*Endpoint{}, remembered: map[process]remembered{}}
 }
 
 func (b *Balancer) group(service string) *group {
@@ -122,8 +124,8 @@
 // Criteria describes the request for which Pick chooses an endpoint.
 type Criteria struct {
 	Service, Route string
-	// Target is the time left until a response counts as late.
-	Target time.Duration
+	// Left is the time that the caller has left.
+	Left time.Duration
 	// Eligible filters endpoints, for example those of a zone that is out; nil accepts all.
 	Eligible func(*Endpoint) bool
 	// Pipelined is set when responses to other requests may have to wait for this one.
@@ -132,51 +134,49 @@
 	Tried []*Endpoint
 }
 
-// Costs of a choice. The unit is the value of a response within the target.
+// The cost of a choice is the expected time to the response, plus what follows in processing times of the route.
 const (
-	// inTimeFraction is the fraction of the target above which the expected latency has a cost for late
-	// responses: processing times scatter, so that a growing fraction of the responses is late.
-	inTimeFraction = 0.55
-	// crossZoneCost is added for an upstream in another zone: traffic between zones is expensive.
-	crossZoneCost = 0.12
-	// latencyCost is the cost of a response that takes the whole target. It gives the request to the
-	// faster of two upstreams that are both expected in time: processing times scatter, so that
-	// responses of the slower one are late more often.
-	latencyCost = 0.1
-	// pipelinedCost is added to latencyCost for pipelined requests (head-of-line blocking): the time
-	// that this request takes delays each response behind it.
-	pipelinedCost = 0.5
-	// failureCost is the cost of a failed request.
-	failureCost = 1.5
-	// utilizationCost is the cost of an upstream whose slots are all in use, and grows linearly from
-	// utilizationStart: the owner may refuse the request, and upstreams slow down under load.
-	utilizationCost  = 0.25
+	// crossZoneCost is added for an upstream in another zone: traffic between zones is expensive, and a zone that
+	// is cut off must not depend on others. An upstream elsewhere has to save half of the processing time.
+	crossZoneCost = 0.5
+	// utilizationCost is added for an upstream whose slots are all in use, and grows linearly from
+	// utilizationStart: it may be full when the request arrives, which then waits, and upstreams slow down under
+	// load.
+	utilizationCost  = 1.0
 	utilizationStart = 0.75
-	// avoidedCost ranks upstreams in back-off or on a suspect host behind all others.
-	avoidedCost = 10
+	// jitterCost breaks ties at random, so that nodes with the same view do not all choose the same
+	// upstream.
+	jitterCost = 0.2
 	// defaultProcessingTime is assumed before the first response on a route.
 	defaultProcessingTime = 100 * time.Millisecond
 	// minCrossZoneTransit is the minimum assumed transit time of a request to another zone and back.
 	minCrossZoneTransit = 3 * time.Millisecond
-	// jitterCost breaks ties at random, so that nodes with the same view do not all choose the same
-	// upstream.
-	jitterCost = 0.02
+	// pipelinedFactor multiplies the time to the response of a pipelined request (head-of-line blocking): it is
+	// also the time of at least one response behind it.
+	pipelinedFactor = 2
 )
 
 // maxScanned is the number of upstreams that one choice considers at most.
 const maxScanned = 48
 
-// Pick returns the endpoint with the lowest expected cost, or nil, and whether it is likely to have a
-// free slot at once.
-func (b *Balancer) Pick(c Criteria) (*Endpoint, bool) {
+// Choice is the endpoint with the lowest expected cost.
+type Choice struct {
+	*Endpoint
+	// MaxWait is the longest wait for a slot there with which it is still the best choice. Only is set if there
+	// is no other, or if none is expected to have a free slot: the request may then wait as long as its caller.
+	MaxWait time.Duration
+	Only    bool
+}
+
+// Pick returns the best choice for a request; its Endpoint is nil if there is none.
+func (b *Balancer) Pick(c Criteria) Choice {
 	all := b.Endpoints(c.Service)
 	mean := b.MeanProcessingTime(c.Service, c.Route)
 	if mean == 0 {
 		mean = defaultProcessingTime
 	}
 	now := time.Now()
-	var best *Endpoint
-	least, free := 0.0, false
+	var best, second candidate
 	start := 0
 	if len(all) > maxScanned {
 		start = rand.IntN(len(all))
@@ -193,11 +193,44 @@
 		if s.leaving {
 			continue
 		}
-		if cost := b.cost(e, s, mean, c); best == nil || cost < least {
-			best, least, free = e, cost, s.wait == 0 && !s.avoided
+		x := candidate{endpoint: e, state: s, cost: b.cost(e, s, mean, c)}
+		switch {
+		case x.before(best):
+			best, second = x, best
+		case x.before(second):
+			second = x
 		}
 	}
-	return best, free
+	return best.choice(second)
+}
+
+// candidate is an endpoint that may get the request.
+type candidate struct {
+	endpoint *Endpoint
+	state    state
+	cost     time.Duration
+}
+
+// before reports whether x is a better choice than y. Upstreams in back-off or on a suspect host come last.
+func (x candidate) before(y candidate) bool {
+	switch {
+	case y.endpoint == nil:
+		return true
+	case x.state.avoided != y.state.avoided:
+		return y.state.avoided
+	default:
+		return x.cost < y.cost
+	}
+}
+
+// choice returns x as the choice before second.
+func (x candidate) choice(second candidate) Choice {
+	c := Choice{Endpoint: x.endpoint, Only: x.state.wait > 0 || x.state.avoided || second.endpoint == nil || second.state.avoided}
+	if !c.Only {
+		// At the owner the transit there is over.
+		c.MaxWait = second.cost - x.cost + x.state.transit
+	}
+	return c
 }
 
 // RecordNoResponse records that the owner of e did not respond in time. It reports whether this makes
@@ -211,26 +244,20 @@
 
 // cost returns the expected cost of sending a request to e. mean is the mean processing time on the
 // route of the request.
-func (b *Balancer) cost(e *Endpoint, s state, mean time.Duration, c Criteria) float64 {
-	transit, cost := s.transit, s.failureRatio*failureCost
+func (b *Balancer) cost(e *Endpoint, s state, mean time.Duration, c Criteria) time.Duration {
+	transit, extra := s.transit, jitterCost*b.Random()
 	if e.Zone != b.zone {
-		cost += crossZoneCost
+		extra += crossZoneCost
 		transit = max(transit, minCrossZoneTransit)
 	}
-	latency := float64(mean)*s.slowness + float64(s.wait+transit)
 	if s.utilization > utilizationStart {
-		cost += utilizationCost * (s.utilization - utilizationStart) / (1 - utilizationStart)
+		extra += utilizationCost * (s.utilization - utilizationStart) / (1 - utilizationStart)
 	}
-	ratio := latency / float64(max(c.Target, time.Millisecond))
-	cost += latencyCost * ratio
+	latency := float64(mean)*s.slowness + float64(s.wait+transit)
+	// A failure costs the caller the rest of its time.
+	latency += s.failureRatio * max(0, float64(c.Left)-latency)
 	if c.Pipelined {
-		cost += pipelinedCost * ratio
-	}
-	if late := ratio - inTimeFraction; late > 0 {
-		cost += late / (1 - inTimeFraction)
-	}
-	if s.avoided {
-		cost += avoidedCost
+		latency *= pipelinedFactor
 	}
-	return cost + jitterCost*rand.Float64()
+	return time.Duration(latency + extra*float64(mean))
 }
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -1,5 +1,5 @@
-// Package balance chooses the upstream for a request: the nearest one that is expected to respond
-// within the target, otherwise the one that is expected to respond first. The estimates of an upstream
+// Package balance chooses the upstream for a request: the one that is expected to respond first, with a preference
+// for the own zone. The estimates of an upstream
 // are updated with each response and decay with age.
 package balance
 
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -29,8 +29,8 @@
 	Targets []Target
 	// Idempotent is set if a request may run more than once.
 	Idempotent bool
-	// Timeout limits the time to the final response. LatencyTarget is the target latency: a response after
-	// it counts as late, and is worth less to the caller.
+	// Timeout limits the time to the final response. LatencyTarget is the operator's target latency. It decides
+	// nothing about a request: how long a caller waits is said by its own timeout and that of the route.
 	Timeout, LatencyTarget time.Duration
 	// Attempts is the maximum number of upstreams that one request may be sent to.
 	Attempts int
