dispatch: retry costs are counted in arrivals at upstreams

Change: a token is one arrival. A retry costs 1, one of a request that has run 3 (itself and up to two child requests), the reserve is one retry. The fractions are 0.6 of the ratio and 0.4 of the slack (0.4 / 0.65 = 0.62 and 0.25 / 0.65 = 0.38 before); the comment derives their limits from the bound. A retry of what has run becomes cheaper: 3 of 3.85 before.

Evidence: TestFleetRetriesStayWithinTheBound, TestSavedTokensOfTheFleetStayWithinTheBound and TestScarceBudgetServesChildRequestsFirst pass unchanged. No test failed before: the bound was kept, the reasons were not.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -5,26 +5,26 @@
 	"time"
 )
 
-// Fractions of the fleet-wide retry budget that the nodes use. The rest is headroom: tokens saved
-// before a window can be spent in it in addition to those earned in it, windows slide, and nodes do
-// not see each other's retries.
+// A token pays for one arrival of a retry at an upstream. In any window the nodes together spend at most what they
+// saved before it, what refills in it and what they earn in it: 2 x slackFraction x slack + ratioFraction x ratio x
+// requests. slackFraction must therefore be below one half and ratioFraction below one; the rest is headroom for nodes
+// that restart with new buckets and for nodes that do not know of each other yet.
 const (
-	ratioFraction = 0.4
-	slackFraction = 0.25
+	ratioFraction = 0.6
+	slackFraction = 0.4
 )
 
-// Cost of a retry, in tokens. Retrying a request that has run also repeats up to two child requests.
-// Retrying one that an upstream refused adds a single arrival at an upstream; the fractions above
-// already allow for two per retry.
 const (
-	notRunCost = 0.65
-	ranCost    = 2.5
+	// retryCost is the cost of a retry: one more arrival.
+	retryCost = 1.0
+	// ranCost is the cost of the retry of a request that has run: it also makes its child requests again, of which
+	// upstreams send up to two.
+	ranCost = 3 * retryCost
+	// childReserve is the number of tokens kept for child requests: the upstreams that send them do not
+	// retry, and when one fails, the work already done for its parent is lost.
+	childReserve = retryCost
 )
 
-// childReserve is the number of tokens kept for child requests: the upstreams that send them do not
-// retry, and when one fails, the work already done for its parent is lost.
-const childReserve = 0.65
-
 // minCapacity is the minimum capacity of a bucket: the balance required by the most expensive retry,
 // of a request that has run and is not a child request.
 const minCapacity = ranCost + childReserve
@@ -83,13 +83,12 @@
 	b.bucketOf(service).tokens += ratioFraction * b.Ratio
 }
 
-// Withdraw pays for one retry and reports whether the balance was sufficient. A retry of a request
-// that has run (ran) costs more, as it repeats the child requests of the first attempt. A child
-// request (child) may use the reserve.
+// Withdraw pays for one retry, of a request that has run if ran is set, and reports whether the balance was
+// sufficient. A child request (child) may use the reserve.
 func (b *Budget) Withdraw(service string, ran, child bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	cost := notRunCost
+	cost := retryCost
 	if ran {
 		cost = ranCost
 	}
