sidecar: requests in flight get the grace period but for the time to leave

Seen by callers: a stopping node broke off requests in the last twentieth of its grace period, half a second before the end of 10 s; with a grace period of one second it kept 50 ms, less than the 200 ms that leaving may take.

Cause: the limit was 0.95 of the grace period, whatever the node still has to do. Change: it is the grace period less the time to send the leave message and to exit. Same limit as before at 6 s. Evidence: TestRequestsInFlightGetTheGracePeriod fails on at 1 s (50 ms left) and 10 s.

--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -18,10 +18,15 @@
 	unreadyDelay = 2300 * time.Millisecond
 	// drainPollInterval is the time between two checks for requests in flight.
 	drainPollInterval = 20 * time.Millisecond
-	// graceFraction is the fraction of the grace period after which the node stops despite requests in flight.
-	graceFraction = 0.95
+	// leaveTimeout bounds the sending of the leave message, exitTime the time that the process then takes to end.
+	leaveTimeout = 200 * time.Millisecond
+	exitTime     = 100 * time.Millisecond
 )
 
+// drainLimit returns how long requests in flight may go on after a signal: the grace period, after which the process
+// is killed, less what the node needs to leave.
+func drainLimit(grace time.Duration) time.Duration { return max(0, grace-leaveTimeout-exitTime) }
+
 // gracefulStop holds the steps of a graceful stop, which starts when the node has become unready for callers:
 // later the node stops being the owner of its upstream, and finally it refuses all new requests.
 type gracefulStop struct {
@@ -54,12 +59,9 @@
 		drainOwner: func() { n.members.Update(func(m *gossip.Member) { m.Draining = true }) },
 		refuseNew:  func() { n.ingress.Drain(); n.owner.Drain() },
 		busy:       func() bool { return n.ingress.Inflight() > 0 || n.gate.Running() > 0 },
-	}.run(time.Duration(graceFraction * float64(n.settings.Bounds.Grace)))
+	}.run(drainLimit(n.settings.Bounds.Grace))
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	n.members.Leave(ctx, n.handOver()...)
 	n.events.Emit(events.Stopped, events.Fields{"cut": n.ingress.Inflight() + int64(n.gate.Running())})
 }
-
-// leaveTimeout bounds the sending of the leave message.
-const leaveTimeout = 200 * time.Millisecond
--- a/internal/sidecar/stop_test.go
+++ b/internal/sidecar/stop_test.go
@@ -37,3 +37,17 @@
 		})
 	}
 }
+
+// A stopping node broke off requests in the last twentieth of its grace period, half a second where that is 10 s. They
+// get all of it but for the time in which the node leaves.
+func TestRequestsInFlightGetTheGracePeriod(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			gracefulStop{drainOwner: func() {}, refuseNew: func() {}, busy: func() bool { return true }}.run(drainLimit(grace))
+			if left := grace - time.Since(start); left < leaveTimeout || left > leaveTimeout+exitTime {
+				t.Errorf("grace period of %v: a request was broken off %v before its end, want between %v and %v", grace, left, leaveTimeout, leaveTimeout+exitTime)
+			}
+		})
+	}
+}
