dispatch: callers are told the earliest time at which an owner expects room

Seen by callers: a request that several owners refused came back after the Retry-After of the last one asked, though another expected room sooner. Change: the refusal carries the shortest Retry-After of all owners that refused the request.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -130,6 +130,8 @@
 	// suspected is set when the request is suspected of crashing upstreams. It is not retried once
 	// it may have arrived at one.
 	suspected bool
+	// retryAfter is the shortest time after which an owner that refused the request expects room; 0 if none did.
+	retryAfter time.Duration
 	// stop is the reason why the request was not sent to another upstream; empty when no other was
 	// available.
 	stop stopCause
@@ -178,6 +180,8 @@
 		return st.response // a later attempt that ended without one does not undo the run
 	case st.mayHaveRun && last.Verdict == verdict.NotRun:
 		last.Verdict = verdict.MayHaveRun
+	case st.retryAfter > 0:
+		last.RetryAfter = st.retryAfter
 	}
 	return last
 }
@@ -303,6 +307,9 @@
 	if res.Verdict != verdict.NotRun || res.Status != 0 {
 		st.reached++
 	}
+	if res.RetryAfter > 0 && (st.retryAfter == 0 || res.RetryAfter < st.retryAfter) {
+		st.retryAfter = res.RetryAfter
+	}
 	switch res.Verdict {
 	case verdict.MayHaveRun:
 		st.mayHaveRun = true
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -206,6 +206,23 @@
 	}
 }
 
+// Several owners refuse a request and expect room at different times. The caller was told that of the last one; it is told
+// the earliest.
+func TestRetryAfterIsTheEarliestOfAllOwners(t *testing.T) {
+	f := &fakeOwners{responses: map[string]func(*proxy.Request) (*proxy.Response, error){}}
+	for _, addr := range []string{"1", "2", "3"} {
+		f.responses[addr] = func(*proxy.Request) (*proxy.Response, error) {
+			res := proxy.Refusal(verdict.NotRun, proxy.ReasonFull)
+			res.RetryAfter = time.Duration(len(f.called)) * 100 * time.Millisecond
+			return res, nil
+		}
+	}
+	res := newDispatcher(f).Dispatch(t.Context(), request("r1"), "/post/1", Caller{})
+	if len(f.called) < 2 || res.RetryAfter != 100*time.Millisecond || res.Verdict != verdict.NotRun {
+		t.Errorf("called owners %v; got verdict %v, RetryAfter %v, want %v and 100ms", f.called, res.Verdict, res.RetryAfter, verdict.NotRun)
+	}
+}
+
 func TestUnknownAndUnservedRequests(t *testing.T) {
 	f := &fakeOwners{responses: map[string]func(*proxy.Request) (*proxy.Response, error){"one": ok}}
 	if res := newDispatcher(f).Dispatch(t.Context(), request("r1"), "/none/1", Caller{}); res.Reason != proxy.ReasonUnknownService {
