delivery: two requests for each slot may wait in a standing queue

Cause: with one request for each slot, an upstream at 0.95 to 0.98 of its capacity refused 0.8 to 1.5% of its callers, whom it could have served: the queue that the scatter of arrivals needs is longer.

Change: two for each slot.

--- a/internal/delivery/overload_test.go
+++ b/internal/delivery/overload_test.go
@@ -304,3 +304,48 @@
 		}
 	})
 }
+
+// Whatever the mix of deadlines and work, an overloaded upstream serves as many requests as it has capacity for, and the
+// others are refused early. The figures of docs/design/waiting.md are the log of this test.
+func TestOverloadedUpstreamServesItsCapacity(t *testing.T) {
+	const work = 90 * time.Millisecond
+	route := func(name string, load float64, work, deadline, target time.Duration) simRoute {
+		return simRoute{name: name, rank: 1, rate: rateFor(load/2, work), work: work, deadline: deadline, target: target, spread: 0.3, repeats: 2}
+	}
+	slow := func(at time.Duration) float64 {
+		if at > 20*time.Second && at < 40*time.Second {
+			return 3
+		}
+		return 1
+	}
+	for _, c := range []struct {
+		name     string
+		load     float64
+		span     time.Duration
+		slowness func(time.Duration) float64
+		a, b     simRoute
+		// least is the smallest share of all callers to be served: the inverse of the load in a lasting overload.
+		least float64
+	}{
+		{"load 0.95", 0.95, overloadSpan, nil, route("a", 0.95, work, 2*time.Second, 200*time.Millisecond), route("b", 0.95, work, 2*time.Second, time.Second), 0.99},
+		{"load 1.5, targets 200 and 1000 ms", 1.5, overloadSpan, nil, route("a", 1.5, work, 2*time.Second, 200*time.Millisecond), route("b", 1.5, work, 2*time.Second, time.Second), 0.63},
+		{"load 1.5, deadlines 0.5 and 8 s", 1.5, overloadSpan, nil, route("a", 1.5, work, 500*time.Millisecond, 300*time.Millisecond), route("b", 1.5, work, 8*time.Second, 300*time.Millisecond), 0.63},
+		{"load 2 for 1 s", 2, time.Second, nil, route("a", 2, work, 2*time.Second, 300*time.Millisecond), route("b", 2, work, 2*time.Second, 300*time.Millisecond), 0.95},
+		{"load 2 for 3 s", 2, 3 * time.Second, nil, route("a", 2, work, 2*time.Second, 300*time.Millisecond), route("b", 2, work, 2*time.Second, 300*time.Millisecond), 0.6},
+		{"load 0.6, 3 times slower for 20 of 60 s", 0.6, overloadSpan, slow, route("a", 0.6, work, 2*time.Second, 300*time.Millisecond), route("b", 0.6, work, 2*time.Second, 300*time.Millisecond), 0.8},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			got := simulate(t, 1, overloadSlots, c.span, c.slowness, nil, c.a, c.b)
+			report(t, c.name, got)
+			a, b := got["a"], got["b"]
+			if all := float64(a.served+b.served) / float64(a.callers+b.callers); all < c.least {
+				t.Errorf("%s: served %.3f of all callers, want at least %.2f", c.name, all, c.least)
+			}
+			for name, r := range got {
+				if late := r.refusedLate(); late > 0.02 {
+					t.Errorf("%s, route %s: %.3f of the refusals came in the last tenth of the caller's time, want at most 0.02", c.name, name, late)
+				}
+			}
+		})
+	}
+}
--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -53,6 +53,11 @@
 	return max(wait, b.gate.admission.wait(b.now, b.ahead))
 }
 
+// standingPerSlot is the number of requests for each slot that may wait in a queue that does not empty. It keeps all
+// slots busy and absorbs the scatter of arrivals at a load just below the capacity of the upstream, and leaves room for
+// callers that have a few processing times only.
+const standingPerSlot = 2
+
 // enqueue queues a request by rank, then by arrival, or refuses it because it cannot be served.
 func (g *Gate) enqueue(r SlotRequest, now time.Time) (*queuedRequest, Refusal) {
 	if len(g.queue) == 0 {
@@ -81,10 +86,9 @@
 	switch {
 	case wait+g.work.of(r.Route).likely() > left:
 		return proxy.ReasonTooLate
-	case b.now.Sub(g.standingSince) > left && b.ahead >= b.capacity:
-		// Requests come faster than the upstream processes them for longer than this caller has time, so this is
-		// no burst that the queue can absorb. A longer queue would serve no more callers, only each of them later;
-		// one request for each slot keeps all slots busy.
+	case b.now.Sub(g.standingSince) > left && b.ahead >= standingPerSlot*b.capacity:
+		// The queue has not been empty for longer than this caller has time, so this is no burst that it can
+		// absorb. A longer queue would serve no more callers, only each of them later.
 		return g.capacityReason(b.now)
 	case !r.WaitToDeadline && wait > r.MaxWait, len(g.queue) >= maxQueued:
 		return g.capacityReason(b.now)
