delivery: queued requests leave an upstream that stalls

Seen by callers: an upstream stalled with requests in all slots, and those in its queue, which had not run, waited for it until their deadlines, though other upstreams had room.

Cause: the queue was looked at when a slot was returned or a request came, and the expected wait assumed that running requests end as usual.

Change: once all running requests are likely to have ended, the time without a returned slot counts as a stall that is expected to last as long again; a timer looks at the queue when a request may no longer be served.

--- a/internal/delivery/gate.go
+++ b/internal/delivery/gate.go
@@ -48,7 +48,11 @@
 	closedReason proxy.Reason // why the gate is closed, while open is false
 	slots        int
 	running      int
-	queue        []*queuedRequest // in the order of their turns
+	// runningOn counts the running requests by route.
+	runningOn map[string]int
+	// progress is when a request last got or returned a slot.
+	progress time.Time
+	queue    []*queuedRequest // in the order of their turns
 	// standingSince is when the queue was last empty.
 	standingSince time.Time
 	work          workEstimates
@@ -62,7 +66,7 @@
 
 // NewGate returns a Gate that admits nothing until Open.
 func NewGate() *Gate {
-	return &Gate{closedReason: proxy.ReasonNoUpstream, work: newWorkEstimates(), sendTurn: make(chan struct{}, 1)}
+	return &Gate{closedReason: proxy.ReasonNoUpstream, work: newWorkEstimates(), runningOn: map[string]int{}, sendTurn: make(chan struct{}, 1)}
 }
 
 // Open admits up to slots concurrent requests and, until coldUntil, coldRate requests per second.
@@ -126,7 +130,7 @@
 	g.sending.named.Learn(r.RateLimit, now)
 	g.admission.named.Learn(r.RateLimit, now)
 	if len(g.queue) == 0 && g.running < g.capacity() && g.admission.admit(now) {
-		g.running++
+		g.start(r.Route, now)
 		g.mu.Unlock()
 		return Refusal{}, true
 	}
@@ -174,29 +178,44 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
+	if g.runningOn[route]--; g.runningOn[route] <= 0 {
+		delete(g.runningOn, route)
+	}
 	if took > 0 {
 		g.work.add(route, took)
 	}
-	g.admitQueued(time.Now())
+	g.progress = time.Now()
+	g.admitQueued(g.progress)
+}
+
+// start gives a slot to a request of a route.
+func (g *Gate) start(route string, now time.Time) {
+	g.running++
+	g.runningOn[route]++
+	g.progress = now
 }
 
 // admitQueued refuses the queued requests that can no longer be served and gives free slots to the others.
 func (g *Gate) admitQueued(now time.Time) {
 	g.refuseUnservable(now)
 	for g.open && len(g.queue) > 0 && g.running < g.capacity() && g.admission.admit(now) {
+		g.start(g.queue[0].Route, now)
 		close(g.queue[0].done)
 		g.queue = slices.Delete(g.queue, 0, 1)
-		g.running++
 	}
 	g.armTimer(now)
 }
 
-// armTimer schedules admitQueued for the time when the next request may be admitted.
+// armTimer schedules admitQueued for the time when the next request may be admitted, or when one may no longer be served.
 func (g *Gate) armTimer(now time.Time) {
-	if len(g.queue) == 0 || !g.admission.active(now) || g.running >= g.capacity() {
+	if len(g.queue) == 0 {
 		return
 	}
-	wait := max(g.admission.wait(now, 0), time.Millisecond)
+	wait := g.untilRefusal(now)
+	if g.admission.active(now) && g.running < g.capacity() {
+		wait = min(wait, g.admission.wait(now, 0))
+	}
+	wait = max(wait, time.Millisecond)
 	if g.timer != nil {
 		g.timer.Reset(wait)
 		return
--- a/internal/delivery/overload_test.go
+++ b/internal/delivery/overload_test.go
@@ -13,6 +13,8 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+
+	"celerybank/internal/proxy"
 )
 
 // simRoute is one kind of request in a simulated overload. rate is in requests per second; work is the mean
@@ -349,3 +351,42 @@
 		})
 	}
 }
+
+// An upstream stalls with requests in all of its slots. Requests in the queue waited for it until their deadlines; they
+// have not run, and are refused while there is time to go to another upstream.
+func TestQueuedRequestsLeaveAStalledUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const deadline = 2 * time.Second
+		g := NewGate()
+		g.Open(overloadSlots, time.Time{}, 0)
+		for range overloadSlots {
+			g.Acquire(t.Context(), slotRequest(1, time.Minute))
+		}
+		var mu sync.Mutex
+		var waited []time.Duration
+		for range 2 * overloadSlots {
+			go func() {
+				start := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				refused, ok := g.Acquire(ctx, slotRequest(1, deadline))
+				if ok || refused.Reason != proxy.ReasonTooLate || refused.RetryAfter <= 0 {
+					t.Errorf("got ok %v, refusal %+v, want %s with a RetryAfter", ok, refused, proxy.ReasonTooLate)
+				}
+				mu.Lock()
+				waited = append(waited, time.Since(start))
+				mu.Unlock()
+			}()
+		}
+		time.Sleep(2 * deadline)
+		synctest.Wait()
+		for _, w := range waited {
+			if w > deadline*2/3 {
+				t.Errorf("refused after %v of %v, want at most two thirds", w, deadline)
+			}
+		}
+		if len(waited) != 2*overloadSlots {
+			t.Errorf("%d requests were refused, want %d", len(waited), 2*overloadSlots)
+		}
+	})
+}
--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -48,11 +49,24 @@
 	if b.ahead >= b.free {
 		// The running requests release all slots once, evenly spaced, within one mean processing time (Little
 		// 1961); those ahead follow.
-		wait = (b.gate.work.all.mean + b.work) / time.Duration(b.capacity)
+		wait = b.gate.stalled(b.now) + (b.gate.work.all.mean+b.work)/time.Duration(b.capacity)
 	}
 	return max(wait, b.gate.admission.wait(b.now, b.ahead))
 }
 
+// stalled returns for how long no slot was returned although all running requests were likely to have ended. An upstream
+// that stalls is expected to do so for as long again.
+func (g *Gate) stalled(now time.Time) time.Duration {
+	if g.running < g.capacity() {
+		return 0
+	}
+	longest := time.Duration(0)
+	for route := range g.runningOn {
+		longest = max(longest, g.work.of(route).likely())
+	}
+	return max(0, now.Sub(g.progress)-longest)
+}
+
 // standingPerSlot is the number of requests for each slot that may wait in a queue that does not empty. It keeps all
 // slots busy and absorbs the scatter of arrivals at a load just below the capacity of the upstream, and leaves room for
 // callers that have a few processing times only.
@@ -97,6 +111,19 @@
 	}
 }
 
+// untilRefusal returns the time after which a queued request may no longer be served if no slot is returned: both the
+// stall and the time that has passed count against its slack.
+func (g *Gate) untilRefusal(now time.Time) time.Duration {
+	b := g.newBacklog(now)
+	least := time.Duration(math.MaxInt64)
+	for _, w := range g.queue {
+		work := g.work.of(w.Route).mean
+		least = min(least, w.Deadline.Sub(now)-b.wait()-work)
+		b.add(work)
+	}
+	return least/2 + time.Millisecond
+}
+
 // canServe reports whether a queued request whose turn is expected after wait can still end before its deadline.
 func (g *Gate) canServe(w *queuedRequest, wait time.Duration, now time.Time) bool {
 	return !now.Add(wait + g.work.of(w.Route).mean).After(w.Deadline)
