--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -22,12 +22,12 @@
 	capacity int
 	// free is the number of free slots, ahead that of the requests which take their turn before.
 	free, ahead int
-	// work is the processing time ahead for which no slot is free yet.
-	work time.Duration
+	// work is the processing time ahead for which no slot is free yet, stalled the expected duration of a stall.
+	work, stalled time.Duration
 }
 
 func (g *Gate) newBacklog(now time.Time) backlog {
-	b := backlog{gate: g, now: now, capacity: max(g.capacity(), 1)}
+	b := backlog{gate: g, now: now, capacity: max(g.capacity(), 1), stalled: g.stalled(now)}
 	b.free = b.capacity - g.running
 	if b.free < 0 { // the capacity was lowered
 		b.work, b.free = time.Duration(-b.free)*g.work.all.mean, 0
@@ -49,7 +49,7 @@
 	if b.ahead >= b.free {
 		// The running requests release all slots once, evenly spaced, within one mean processing time (Little
 		// 1961); those ahead follow.
-		wait = b.gate.stalled(b.now) + (b.gate.work.all.mean+b.work)/time.Duration(b.capacity)
+		wait = b.stalled + (b.gate.work.all.mean+b.work)/time.Duration(b.capacity)
 	}
 	return max(wait, b.gate.admission.wait(b.now, b.ahead))
 }
