balance: the wait that a pipelined request is worth counts like the rest of its time

MaxWait of a pipelined request was twice the advantage of the choice: the factor for the responses behind it was left in.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -201,7 +201,7 @@
 			second = x
 		}
 	}
-	return best.choice(second)
+	return best.choice(second, c.Pipelined)
 }
 
 // candidate is an endpoint that may get the request.
@@ -224,11 +224,14 @@
 }
 
 // choice returns x as the choice before second.
-func (x candidate) choice(second candidate) Choice {
+func (x candidate) choice(second candidate, pipelined bool) Choice {
 	c := Choice{Endpoint: x.endpoint, Only: x.state.wait > 0 || x.state.avoided || second.endpoint == nil || second.state.avoided}
 	if !c.Only {
-		// At the owner the transit there is over.
-		c.MaxWait = second.cost - x.cost + x.state.transit
+		advantage := second.cost - x.cost
+		if pipelined {
+			advantage /= pipelinedFactor // a wait counts as often as the rest of the time
+		}
+		c.MaxWait = advantage + x.state.transit // at the owner the transit there is over
 	}
 	return c
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -79,6 +79,11 @@
 	if c := b.Pick(criteria); c.Zone != "a" || c.Only || c.MaxWait != crossZoneCost*100*time.Millisecond+minCrossZoneTransit {
 		t.Errorf("all idle: got %s, MaxWait %v, Only %v; want a and half of the processing time and the transit", c.Zone, c.MaxWait, c.Only)
 	}
+	pipelined := criteria
+	pipelined.Pipelined = true
+	if c := b.Pick(pipelined); c.Zone != "a" || c.Only || c.MaxWait != crossZoneCost*100*time.Millisecond/pipelinedFactor+minCrossZoneTransit {
+		t.Errorf("all idle, pipelined: got %s, MaxWait %v, Only %v; want a and a quarter of the processing time and the transit", c.Zone, c.MaxWait, c.Only)
+	}
 	for _, e := range zones {
 		if e.Zone != "a" {
 			e.RecordUnreachable(time.Now())
