--- a/internal/delivery/overload_test.go
+++ b/internal/delivery/overload_test.go
@@ -83,9 +83,11 @@
 	}
 	gate.Open(slots, time.Time{}, 0)
 	s := &simulation{gate: gate, slowness: slowness, start: time.Now(), rand: rand.New(rand.NewPCG(seed, 0)), results: map[string]*simResult{}}
-	var callers sync.WaitGroup
 	for _, r := range list {
 		s.results[r.name] = &simResult{}
+	}
+	var callers sync.WaitGroup
+	for _, r := range list {
 		callers.Go(func() {
 			for time.Since(s.start) < span {
 				s.mu.Lock()
