standin: the store keeps the newest record of a key that its retention drops at once

Cause: the stand-in, not the product.

Change: an append applies its own records to the newest ones. Evidence: TestNewestRecordOutlivesRetentionThatDropsIt failed (key a at offset 0, key b not deleted).

--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -125,7 +125,7 @@
 const keyedPrefix = "keyed."
 
 // compact applies the new records of a keyed topic to the newest record of each key, and
-// returns a copy of the result. A record with an empty value deletes its key.
+// returns a copy of the result.
 func (s *server) compact(topic string) (*compactedTopic, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -142,19 +142,40 @@
 		return nil, err
 	}
 	for _, e := range page.Entries {
-		key, value, ok := splitKeyed(e.Data)
-		switch {
-		case !ok:
-		case len(value) == 0:
-			delete(t.byKey, key)
-		default:
-			t.byKey[key] = item{key, base64.StdEncoding.EncodeToString(value), e.Offset - firstOffset}
-		}
+		t.apply(e.Data, e.Offset-firstOffset)
 	}
 	t.next = page.Next
 	return &compactedTopic{byKey: maps.Clone(t.byKey), next: t.next}, nil
 }
 
+// apply makes a record the newest of its key, unless a newer one is known. A record with an empty value deletes its key.
+func (t *compactedTopic) apply(record []byte, offset int64) {
+	key, value, ok := splitKeyed(record)
+	if !ok || t.byKey[key].Offset > offset {
+		return
+	}
+	if len(value) == 0 {
+		delete(t.byKey, key)
+		return
+	}
+	t.byKey[key] = item{key, base64.StdEncoding.EncodeToString(value), offset}
+}
+
+// compactAppended applies records that were appended from an offset on. Retention may have dropped them from the log
+// already.
+func (s *server) compactAppended(topic string, records [][]byte, offset int64) {
+	if _, err := s.compact(topic); err != nil {
+		return // an outage began meanwhile; the next request compacts again
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.compacted[topic]; t != nil {
+		for i, r := range records {
+			t.apply(r, offset+int64(i))
+		}
+	}
+}
+
 // compactAll compacts all known keyed topics if f drops history, and must run before f takes
 // effect.
 func (s *server) compactAll(f configlog.Faults) error {
@@ -193,7 +214,10 @@
 	name := topic(c)
 	offset, err := s.log.AppendAll(s.ctx, name, at, records...)
 	if strings.HasPrefix(name, keyedPrefix) {
-		_, _ = s.compact(name) // fails if an outage began meanwhile; the next request compacts again
+		if err != nil {
+			records = nil // what a lost response hides is in the log
+		}
+		s.compactAppended(name, records, offset-firstOffset)
 	}
 	switch {
 	case errors.Is(err, configlog.ErrOffsetMismatch):
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -98,3 +98,17 @@
 		t.Errorf("got %+v, want the keys a and c (c at offset 1) and end 2", page)
 	}
 }
+
+// The store drops its history while the operator writes. A record that it acknowledges meanwhile was dropped before it
+// counted as the newest of its key, and no node ever saw it.
+func TestNewestRecordOutlivesRetentionThatDropsIt(t *testing.T) {
+	s := startServer(t)
+	s.post("/api/log-append?part=0&topic=keyed.test", append(frame("a", "1"), frame("b", "1")...))
+	s.post("/control", []byte(`{"retain":-1}`))
+	s.post("/api/log-append?part=0&topic=keyed.test", append(frame("a", "2"), frame("b", "")...))
+	s.post("/control", []byte(`{}`))
+	page := s.newest()
+	if len(page.Items) != 1 || page.Items[0].Key != "a" || page.Items[0].Offset != 2 || page.End != 4 {
+		t.Errorf("got %+v, want the key a at offset 2 and end 4", page)
+	}
+}
