--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// An owner that is full refuses a request that another upstream serves sooner. The wait that is worth while there
+// An owner that is full refuses a request that another upstream serves sooner. The longest sensible wait there
 // follows from the expected times at both, and from nothing else.
 func TestMaxWaitIsTheAdvantageOverTheNextChoice(t *testing.T) {
 	b, zones := newBalancer()
