dispatch: the comment on the retry budget names the minimum capacity

The derivation left out that a node whose share of the slack is below minCapacity may save up to that. Comment only; internal/dispatch passes, vet and staticcheck are clean.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -8,7 +8,8 @@
 // A token pays for one arrival of a retry at an upstream. In any window the nodes together spend at most what they
 // saved before it, what refills in it and what they earn in it: 2 x slackFraction x slack + ratioFraction x ratio x
 // requests. slackFraction must therefore be below one half and ratioFraction below one; the rest is headroom for nodes
-// that restart with new buckets and for nodes that do not know of each other yet.
+// that restart with new buckets, for nodes that do not know of each other yet, and for nodes whose share of the slack is
+// below minCapacity, which may earn and save that much.
 const (
 	ratioFraction = 0.6
 	slackFraction = 0.4
