delivery: a request that cannot end in its caller's time is not started

Seen by callers: where an upstream had turned slow, a request with little time left got a free slot there, ended at its deadline with 504, and the caller of a non-idempotent one could not know whether it had run. Other upstreams were not asked. Cause: the time left was compared with the work left only for requests that had to queue. Change: with a free slot, too, a request is refused if even the shortest usual processing time on its route (mean less two mean deviations) exceeds its time; the entry node then asks the next upstream. One request of a route runs all the same while none of it does, so that an upstream that has recovered is noticed.

--- a/internal/delivery/gate.go
+++ b/internal/delivery/gate.go
@@ -129,6 +129,10 @@
 	}
 	g.sending.named.Learn(r.RateLimit, now)
 	g.admission.named.Learn(r.RateLimit, now)
+	if g.cannotEnd(r, now) {
+		defer g.mu.Unlock()
+		return Refusal{Reason: proxy.ReasonTooLate, RetryAfter: g.retryAfter(0)}, false
+	}
 	if len(g.queue) == 0 && g.running < g.capacity() && g.admission.admit(now) {
 		g.start(r.Route, now)
 		g.mu.Unlock()
--- a/internal/delivery/overload_test.go
+++ b/internal/delivery/overload_test.go
@@ -392,3 +392,35 @@
 		}
 	})
 }
+
+// The upstream has a free slot and is known to take far longer than the caller has time. The request was sent all the same
+// and ended at its deadline, when nobody could say any more whether it had run. One request of the route may run at a time
+// to learn the processing time anew.
+func TestRequestThatCannotEndInTimeIsNotStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const work = 400 * time.Millisecond
+		g := NewGate()
+		g.Open(overloadSlots, time.Time{}, 0)
+		acquire := func(route string, deadline time.Duration) (Refusal, bool) {
+			return g.Acquire(t.Context(), SlotRequest{Rank: 1, Route: route, Deadline: time.Now().Add(deadline), WaitToDeadline: true})
+		}
+		for range 50 {
+			if _, ok := acquire("list", time.Minute); !ok {
+				t.Fatal("got no slot from a gate with free slots")
+			}
+			g.Release("list", work)
+		}
+		if _, ok := acquire("list", work/4); !ok {
+			t.Error("no request of the route is running: got a refusal, want a slot")
+		}
+		if refused, ok := acquire("list", work/4); ok || refused.Reason != proxy.ReasonTooLate || refused.RetryAfter <= 0 {
+			t.Errorf("got ok %v, refusal %+v, want %s with a RetryAfter", ok, refused, proxy.ReasonTooLate)
+		}
+		if _, ok := acquire("list", 2*work); !ok {
+			t.Error("got a refusal of a request with time enough, want a slot")
+		}
+		if _, ok := acquire("other", work/4); !ok {
+			t.Error("got a refusal on a route without an estimate, want a slot")
+		}
+	})
+}
--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -94,6 +94,13 @@
 	return w, Refusal{}
 }
 
+// cannotEnd reports whether a request has too little time left even if it gets a slot now: it would end at its deadline,
+// and a non-idempotent one would leave its caller without knowing whether it has run. One request of a route may run all
+// the same, as the processing times of the route may have changed since the last response.
+func (g *Gate) cannotEnd(r SlotRequest, now time.Time) bool {
+	return g.runningOn[r.Route] > 0 && g.work.shortest(r.Route) > r.Deadline.Sub(now)
+}
+
 // refusalReason returns why a request that would come after the backlog b and wait for wait is refused.
 func (g *Gate) refusalReason(r SlotRequest, b *backlog, wait time.Duration) proxy.Reason {
 	left := r.Deadline.Sub(b.now)
--- a/internal/delivery/work.go
+++ b/internal/delivery/work.go
@@ -12,7 +12,8 @@
 	initialDeviation = initialMeanTime / 2
 	// meanWeight is the weight of a new processing time in the mean and in the mean deviation.
 	meanWeight = 0.1
-	// likelyDeviations is the number of mean deviations above the mean within which most requests end.
+	// likelyDeviations is the number of mean deviations above the mean within which most requests end, and below the mean
+	// within which few do.
 	likelyDeviations = 2
 	// maxTrackedRoutes limits the memory of the estimates; the requests of further routes get the estimate of
 	// all routes.
@@ -27,6 +28,9 @@
 // likely returns the time within which most requests end.
 func (e estimate) likely() time.Duration { return e.mean + likelyDeviations*e.deviation }
 
+// shortest returns the time within which few requests end.
+func (e estimate) shortest() time.Duration { return e.mean - likelyDeviations*e.deviation }
+
 // workEstimates estimates how long the upstream processes a request, from its latest responses.
 type workEstimates struct {
 	all    estimate
@@ -58,3 +62,11 @@
 	}
 	return w.all
 }
+
+// shortest returns the time within which few requests of a route end, 0 before the first response on it.
+func (w *workEstimates) shortest(route string) time.Duration {
+	if e := w.routes[route]; e != nil {
+		return e.shortest()
+	}
+	return 0
+}
