delivery: a paced request whose turn comes after its deadline is refused at once

Seen by callers: of requests that a cold upstream had admitted together, one whose turn to be sent came after its deadline was refused at the deadline, with no time left to go elsewhere. Cause: WaitToSend slept until the turn or the deadline, although it knew which of them came first. Change: it returns at once then; the request counts as refused for lack of time, which another upstream may have. Evidence: TestSendThatComesTooLateIsRefusedAtOnce, before: 'got error context deadline exceeded after 100ms'. TestTurnThatComesTooLateIsNoFailureOfTheUpstream guards the new error against being taken for a dead upstream.

--- a/internal/delivery/overload_test.go
+++ b/internal/delivery/overload_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
@@ -424,3 +425,26 @@
 		}
 	})
 }
+
+// Requests admitted to a paced upstream together are sent one after the other. One whose turn to be sent comes after its
+// deadline waited for the deadline.
+func TestSendThatComesTooLateIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate()
+		g.Open(overloadSlots, time.Now().Add(time.Minute), 2)
+		sent, err := g.WaitToSend(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		if _, err := g.WaitToSend(ctx); !errors.Is(err, errTurnTooLate) || time.Since(start) > 0 {
+			t.Errorf("got error %v after %v, want %v at once", err, time.Since(start), errTurnTooLate)
+		}
+		if _, err := g.WaitToSend(t.Context()); err != nil {
+			t.Errorf("next request: got error %v, want none", err)
+		}
+	})
+}
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -355,6 +355,8 @@
 		reason = proxy.ReasonDeadline
 	case ctx.Err() != nil:
 		reason = proxy.ReasonCancelled
+	case errors.Is(err, errTurnTooLate):
+		reason = proxy.ReasonTooLate
 	case v == verdict.NotRun:
 		reason = proxy.ReasonUnreachable
 		o.handleDown(up, err)
--- a/internal/delivery/owner_test.go
+++ b/internal/delivery/owner_test.go
@@ -77,3 +77,12 @@
 		t.Error("the gate is still closed after the configuration arrived")
 	}
 }
+
+// A request whose turn to be sent would come too late has not reached the upstream, which is not down because of it.
+func TestTurnThatComesTooLateIsNoFailureOfTheUpstream(t *testing.T) {
+	o, up := newOwner(t), &current{quality: &quality{}}
+	res := o.handleError(t.Context(), up, &proxy.Request{Service: "stock"}, verdict.NotRun, errTurnTooLate, 0)
+	if res.Verdict != verdict.NotRun || res.Reason != proxy.ReasonTooLate || up.down.Load() {
+		t.Errorf("got verdict %v, reason %s, upstream down %v, want %v, %s and not down", res.Verdict, res.Reason, up.down.Load(), verdict.NotRun, proxy.ReasonTooLate)
+	}
+}
--- a/internal/delivery/sending.go
+++ b/internal/delivery/sending.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"celerybank/internal/duration"
 )
 
@@ -12,10 +14,14 @@
 // body the upstream does not read.
 const sendTurnLimit = 500 * time.Millisecond
 
+// errTurnTooLate is returned for a request whose turn to be sent comes after its deadline.
+var errTurnTooLate = errors.New("the request may not be sent before its deadline")
+
 // WaitToSend waits until one more request may be sent to the upstream, and counts it as sent. Call it
 // right before the first byte is written, and sent when the request has been written or given up: while
 // requests are paced, the next one is counted after that, so that requests do not arrive together when
-// the host stalls between count and write. It returns the error of ctx if that ends first.
+// the host stalls between count and write. It returns the error of ctx if that ends first, and errTurnTooLate as soon as it is
+// known that it would.
 func (g *Gate) WaitToSend(ctx context.Context) (sent func(), err error) {
 	if g.countUnpaced() {
 		return func() {}, nil
@@ -30,6 +36,10 @@
 		if wait == 0 {
 			return g.newSendTurn(), nil
 		}
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= wait {
+			<-g.sendTurn
+			return nil, errTurnTooLate
+		}
 		if !duration.Sleep(ctx, wait) {
 			<-g.sendTurn
 			return nil, ctx.Err()
