dispatch, delivery: every refused caller is told when to return

Seen by callers: a 503 without Retry-After wherever no owner had named a time: the upstream drained, was replaced, out with its zone or not reached, or rejected the request itself. Such callers returned at once, on a new connection, or not at all. Cause: only a refusal for lack of a slot carried a time, and the time for 'no upstream' was lost with the first owner asked. Change: a request that has not run and that another time may serve is told that of the earliest owner, else about the time in which an announcement arrives. After a rejection by the upstream itself, and for a send that would come too late, its owner names its own expected wait. Requests that are themselves at fault are told none, as before. Evidence: TestRefusedCallersAreToldWhenToReturn, before: RetryAfter 0s for nine of nine reasons. TestRequestRejectedAfterAdmissionIsToldWhenToReturn is of the new function.

--- a/internal/delivery/gate.go
+++ b/internal/delivery/gate.go
@@ -177,6 +177,17 @@
 	return wait + rand.N(wait)
 }
 
+// RetryAfter returns when a caller that comes after those in the queue may expect room.
+func (g *Gate) RetryAfter() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.newBacklog(time.Now())
+	for _, w := range g.queue {
+		b.add(g.work.of(w.Route).mean)
+	}
+	return g.retryAfter(b.wait())
+}
+
 // Release returns a slot. took is the upstream's processing time of the request on the route, 0 when unknown.
 func (g *Gate) Release(route string, took time.Duration) {
 	g.mu.Lock()
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -262,9 +262,17 @@
 	res := o.send(ctx, up, req)
 	o.running.remove(req)
 	o.Gate.Release(req.Route, processingTime(res))
+	o.tellWhenToReturn(res)
 	return res
 }
 
+// tellWhenToReturn sets when there may be room for a request that had a slot and was rejected for lack of room all the same.
+func (o *Owner) tellWhenToReturn(res *proxy.Response) {
+	if res.Verdict == verdict.NotRun && (res.Reason == proxy.ReasonShed || res.Reason == proxy.ReasonTooLate) {
+		res.RetryAfter = o.Gate.RetryAfter()
+	}
+}
+
 // processingTime returns how long the upstream processed a request, 0 when unknown: the caller cancelled it.
 func processingTime(res *proxy.Response) time.Duration {
 	if res.Reason == proxy.ReasonCancelled {
--- a/internal/delivery/owner_test.go
+++ b/internal/delivery/owner_test.go
@@ -86,3 +86,26 @@
 		t.Errorf("got verdict %v, reason %s, upstream down %v, want %v, %s and not down", res.Verdict, res.Reason, up.down.Load(), verdict.NotRun, proxy.ReasonTooLate)
 	}
 }
+
+// The upstream itself rejected a request because it was full, or the request's turn to be sent came too late. The caller was
+// not told when there may be room, and returned at once or much too late.
+func TestRequestRejectedAfterAdmissionIsToldWhenToReturn(t *testing.T) {
+	o := newOwner(t)
+	o.Gate.Open(4, time.Time{}, 0)
+	for _, c := range []struct {
+		verdict verdict.Verdict
+		reason  proxy.Reason
+		want    bool
+	}{
+		{verdict.NotRun, proxy.ReasonShed, true},
+		{verdict.NotRun, proxy.ReasonTooLate, true},
+		{verdict.NotRun, proxy.ReasonReplaced, false},
+		{verdict.Ran, proxy.ReasonNone, false},
+	} {
+		res := &proxy.Response{Verdict: c.verdict, Reason: c.reason}
+		o.tellWhenToReturn(res)
+		if told := res.RetryAfter >= initialMeanTime/4 && res.RetryAfter <= 2*initialMeanTime; told != c.want || !told && res.RetryAfter != 0 {
+			t.Errorf("%v, %s: got RetryAfter %v, want one: %v", c.verdict, c.reason, res.RetryAfter, c.want)
+		}
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,7 +66,7 @@
 const (
 	// maxOwners is the number of owners that one request is sent to at most, refusals included.
 	maxOwners = 4
-	// noUpstreamRetry is the mean Retry-After when no upstream of the service is known: about the
+	// noUpstreamRetry is the mean Retry-After when no upstream of the service takes requests: about the
 	// time that an announcement takes to arrive.
 	noUpstreamRetry = time.Second
 	// notReadyRetry is the mean Retry-After while this node has no configuration.
@@ -161,7 +161,6 @@
 	}
 	accepts := d.Canaries.Choose(req.Service)
 	last := proxy.Refusal(verdict.NotRun, proxy.ReasonNoUpstream)
-	last.RetryAfter = jitter(noUpstreamRetry)
 	for n := range maxOwners {
 		if ctx.Err() != nil {
 			break
@@ -182,6 +181,8 @@
 		last.Verdict = verdict.MayHaveRun
 	case st.retryAfter > 0:
 		last.RetryAfter = st.retryAfter
+	case last.Verdict == verdict.NotRun && !final(last.Reason):
+		last.RetryAfter = jitter(noUpstreamRetry)
 	}
 	return last
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -405,3 +405,28 @@
 		t.Errorf("budget exhausted: got event %s %v, want stop %q", last.Name, last.Fields, stopBudget)
 	}
 }
+
+// Every owner of a service refused because it had no upstream to send to, and the caller was not told when to come back.
+// A caller whose request has not run always is, unless the request itself is at fault.
+func TestRefusedCallersAreToldWhenToReturn(t *testing.T) {
+	reply := func(reason proxy.Reason) func(*proxy.Request) (*proxy.Response, error) {
+		return func(*proxy.Request) (*proxy.Response, error) { return proxy.Refusal(verdict.NotRun, reason), nil }
+	}
+	type response = func(*proxy.Request) (*proxy.Response, error)
+	cases := map[string]response{"owner not reached": notSent}
+	for _, r := range []proxy.Reason{proxy.ReasonNoUpstream, proxy.ReasonDraining, proxy.ReasonReplaced, proxy.ReasonNotReady, proxy.ReasonZoneOut,
+		proxy.ReasonVetoed, proxy.ReasonUnreachable, proxy.ReasonDown} {
+		cases[string(r)] = reply(r)
+	}
+	for name, respond := range cases {
+		f := &fakeOwners{responses: map[string]response{"one": respond, "two": respond}}
+		res := newDispatcher(f).Dispatch(t.Context(), request("r1"), "/post/1", Caller{})
+		if res.Verdict != verdict.NotRun || res.RetryAfter <= 0 {
+			t.Errorf("%s: got verdict %v, reason %s, RetryAfter %v, want %v and a RetryAfter", name, res.Verdict, res.Reason, res.RetryAfter, verdict.NotRun)
+		}
+	}
+	f := &fakeOwners{responses: map[string]response{"one": reply(proxy.ReasonCrashing)}}
+	if res := newDispatcher(f).Dispatch(t.Context(), request("r1"), "/post/1", Caller{}); res.RetryAfter != 0 {
+		t.Errorf("a request that crashes upstreams: got RetryAfter %v, want none", res.RetryAfter)
+	}
+}
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -133,7 +133,8 @@
 	Replayed bool `msgpack:"y,omitempty"`
 	// ProcessingTime is how long the upstream processed the request.
 	ProcessingTime time.Duration `msgpack:"t,omitempty"`
-	// RetryAfter is the expected time until a slot is free; it is set on a refusal for lack of one.
+	// RetryAfter is the time after which a refused caller may expect room; an owner sets it on a refusal for lack of a
+	// slot, the entry node on all others that another time may change.
 	RetryAfter time.Duration `msgpack:"a,omitempty"`
 	// OwnerTime is how long the request was at the owner, including its time in the queue; 0 when no owner
 	// reports it.
