ingress: a request whose body does not fit into the memory is told when to return

Seen by callers: a 503 without Retry-After while the bodies of other requests fill the memory. Cause: the refusal is written before the request reaches the dispatcher, which sets the time of all others. Change: it names one second, the shortest time that RFC 9110 can express. Evidence: TestBodiesOfRunningRequestsCount with the header checked, before: 'got Retry-After ""'.

--- a/internal/ingress/endless_test.go
+++ b/internal/ingress/endless_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -200,6 +201,9 @@
 			_, _ = fmt.Fprintf(conn, "POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
 			var resp fasthttp.Response
 			if resp.Read(bufio.NewReader(conn)) == nil && resp.StatusCode() == 503 {
+				if retryAfter, err := strconv.Atoi(string(resp.Header.Peek("Retry-After"))); err != nil || retryAfter < 1 {
+					t.Errorf("got Retry-After %q, want whole seconds", resp.Header.Peek("Retry-After"))
+				}
 				refused <- 1
 			}
 		}()
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -118,6 +118,10 @@
 	}
 }
 
+// bodyMemoryRetry is the Retry-After of a request whose body does not fit into the memory, in seconds: the shortest that RFC
+// 9110 can express, as bodies are released with each response.
+const bodyMemoryRetry = "1"
+
 // refuse sets the response to a request that could not be read.
 func refuse(x *exchange, err error) {
 	var bufferErr *fasthttp.ErrSmallBuffer
@@ -130,6 +134,7 @@
 		code = fasthttp.StatusRequestEntityTooLarge
 	case errors.Is(err, errBodyMemory):
 		code = fasthttp.StatusServiceUnavailable
+		x.resp.Header.Set(fasthttp.HeaderRetryAfter, bodyMemoryRetry)
 	case errors.As(err, &netErr):
 		code = fasthttp.StatusRequestTimeout
 	}
