admission: a queued request leaves while there is time to be served elsewhere

Seen by callers of the product's own path: at an upstream whose slots were all taken, a request waited to its deadline although its work alone took longer than the time that it had left, and was refused when no other upstream could serve it any more. Cause: the wait was bounded by the time of those ahead only. Change: it is bounded by the time left less the current latency of the request's route, too; without any, the request is refused at once. Evidence: TestQueuedRequestLeavesWhenItsWorkNoLongerFits, before: 'caller with 500ms: got outcome 1 after 400ms, want 1 after 100ms', 'caller with 200ms: after 200ms, want 0s'.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -181,10 +181,9 @@
 	}
 }
 
-// Acquire takes a slot; after Admitted the caller must Release it. While the upstream is full the request
-// is queued, unless the queue is full, until its caller's deadline or until those ahead should have ended (maxWait):
-// another upstream may then be faster. A cold upstream refuses at once.
-func (g *Gate) Acquire(ctx context.Context, c Class) Outcome {
+// Acquire takes a slot for a request of a route; after Admitted the caller must Release it. While the upstream is full the
+// request is queued, unless the queue is full, as long as maxWait says. A cold upstream refuses at once.
+func (g *Gate) Acquire(ctx context.Context, c Class, route string) Outcome {
 	g.mu.Lock()
 	now := time.Now()
 	g.lastSeen[c] = now
@@ -193,7 +192,11 @@
 		g.inUse[c]++
 	}
 	queued := r == Full || (r == Admitted && len(g.queue[c]) > 0)
-	if !queued || g.initialMaxWait <= 0 || len(g.queue[c]) >= g.slots*queuePerSlot {
+	limit := time.Duration(0)
+	if queued {
+		limit = g.maxWait(ctx, route, now)
+	}
+	if limit <= 0 || len(g.queue[c]) >= g.slots*queuePerSlot {
 		g.mu.Unlock()
 		if queued {
 			return Full
@@ -202,20 +205,27 @@
 	}
 	w := &queuedRequest{done: make(chan struct{})}
 	g.queue[c] = append(g.queue[c], w)
-	limit := g.maxWait()
 	g.mu.Unlock()
 	return g.wait(ctx, c, w, limit)
 }
 
-// maxWait returns how long a request is queued: as the queue holds at most queuePerSlot requests of a class for each
-// slot, those ahead should have ended within the longest current latency of a route. g.mu is held.
-func (g *Gate) maxWait() time.Duration {
+// maxWait returns how long a request is queued: until those ahead should have ended, after which another upstream may be
+// faster, or until its caller has less time left than a request of the route takes. As the queue holds at most queuePerSlot
+// requests of a class for each slot, those ahead should have ended within the longest current latency of a route. g.mu is held.
+func (g *Gate) maxWait(ctx context.Context, route string, now time.Time) time.Duration {
+	if g.initialMaxWait <= 0 {
+		return 0
+	}
 	longest := time.Duration(0)
 	for _, t := range g.trends {
 		longest = max(longest, time.Duration(t.short))
 	}
 	if longest == 0 {
-		return g.initialMaxWait
+		longest = g.initialMaxWait
+	}
+	deadline, ok := ctx.Deadline()
+	if t := g.trends[route]; ok && t != nil {
+		return min(longest, deadline.Sub(now)-time.Duration(t.short))
 	}
 	return longest
 }
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -14,6 +14,9 @@
 
 const testSlots = 10
 
+// testRoute is the route of requests whose processing time does not matter.
+const testRoute = "show"
+
 func warmGate() *Gate {
 	g := NewGate()
 	g.Open(testSlots, 0)
@@ -33,7 +36,7 @@
 				ctx, cancel := context.WithTimeout(context.Background(), wait)
 				defer cancel()
 				c := Class(i % 2)
-				if g.Acquire(ctx, c) != Admitted {
+				if g.Acquire(ctx, c, testRoute) != Admitted {
 					return
 				}
 				now := running.Add(1)
@@ -88,7 +91,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), o.deadline)
 	defer cancel()
 	if o.gate != nil {
-		if o.gate.Acquire(ctx, Lookup) != Admitted {
+		if o.gate.Acquire(ctx, Lookup, testRoute) != Admitted {
 			return
 		}
 		defer o.gate.Release(Lookup)
@@ -141,7 +144,7 @@
 		var wg sync.WaitGroup
 		lookup := func() (Outcome, time.Duration) {
 			start := time.Now()
-			r := g.Acquire(context.Background(), Lookup)
+			r := g.Acquire(context.Background(), Lookup, testRoute)
 			waited := time.Since(start)
 			if r == Admitted {
 				time.Sleep(5 * time.Millisecond)
@@ -153,7 +156,7 @@
 		for range 60 {
 			wg.Go(func() {
 				for range 10 {
-					if g.Acquire(context.Background(), Change) == Admitted {
+					if g.Acquire(context.Background(), Change, testRoute) == Admitted {
 						time.Sleep(200 * time.Millisecond)
 						g.Release(Change)
 					}
@@ -178,13 +181,13 @@
 		g.Open(testSlots, 10*time.Second)
 		for second, want := range []int{1, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10} {
 			got := 0
-			for g.Acquire(context.Background(), Lookup) == Admitted {
+			for g.Acquire(context.Background(), Lookup, testRoute) == Admitted {
 				got++
 			}
 			if got != want {
 				t.Errorf("%d s after the start: got %d slots, want %d", second, got, want)
 			}
-			if r := g.Acquire(context.Background(), Lookup); second < 10 && r != Cold {
+			if r := g.Acquire(context.Background(), Lookup, testRoute); second < 10 && r != Cold {
 				t.Errorf("%d s after the start: got outcome %d, want %d", second, r, Cold)
 			}
 			for range got {
@@ -230,7 +233,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := warmGate()
 		for range 8 {
-			g.Acquire(context.Background(), Lookup)
+			g.Acquire(context.Background(), Lookup, testRoute)
 		}
 		g.RecordShed()
 		if _, limit, _ := g.Load(); limit != 6 {
@@ -247,7 +250,7 @@
 	g, ctx := warmGate(), context.Background()
 	b.ReportAllocs()
 	for b.Loop() {
-		if g.Acquire(ctx, Lookup) == Admitted {
+		if g.Acquire(ctx, Lookup, testRoute) == Admitted {
 			g.Release(Lookup)
 		}
 	}
@@ -290,7 +293,7 @@
 		}
 		for range testSlots {
 			go func() {
-				if g.Acquire(t.Context(), Lookup) == Admitted {
+				if g.Acquire(t.Context(), Lookup, testRoute) == Admitted {
 					time.Sleep(work)
 					g.Release(Lookup)
 				}
@@ -299,17 +302,40 @@
 		time.Sleep(work / 4)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		if got := g.Acquire(ctx, Lookup); got != Admitted {
+		if got := g.Acquire(ctx, Lookup, testRoute); got != Admitted {
 			t.Errorf("got outcome %d, want %d", got, Admitted)
 		}
 		// No slot is returned within the time that requests take: the request may go elsewhere.
 		synctest.Wait()
 		for g.Running() < testSlots {
-			g.Acquire(t.Context(), Lookup)
+			g.Acquire(t.Context(), Lookup, testRoute)
 		}
 		start := time.Now()
-		if got := g.Acquire(ctx, Lookup); got != Full || time.Since(start) != work {
+		if got := g.Acquire(ctx, Lookup, testRoute); got != Full || time.Since(start) != work {
 			t.Errorf("stalled upstream: got outcome %d after %v, want %d after %v", got, time.Since(start), Full, work)
 		}
 	})
 }
+
+// An upstream takes 400 ms for a request, and all its slots have just been taken. A queued request whose caller has 500 ms
+// waited for a slot until no time was left to be served, there or elsewhere.
+func TestQueuedRequestLeavesWhenItsWorkNoLongerFits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := warmGate()
+		const work, deadline = 400 * time.Millisecond, 500 * time.Millisecond
+		for range baselineSamples {
+			g.Observe("list", work)
+		}
+		for range testSlots {
+			g.Acquire(t.Context(), Lookup, "list")
+		}
+		for left, want := range map[time.Duration]time.Duration{deadline: deadline - work, work / 2: 0} {
+			ctx, cancel := context.WithTimeout(t.Context(), left)
+			start := time.Now()
+			if got := g.Acquire(ctx, Lookup, "list"); got != Full || time.Since(start) != want {
+				t.Errorf("caller with %v: got outcome %d after %v, want %d after %v", left, got, time.Since(start), Full, want)
+			}
+			cancel()
+		}
+	})
+}
--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -142,7 +142,7 @@
 		return refusal(verdict.NotRun, ReasonCrashing)
 	}
 	class := admission.ClassOf(req.Idempotent)
-	if refused := o.gate.Acquire(ctx, class); refused != admission.Admitted {
+	if refused := o.gate.Acquire(ctx, class, req.Route); refused != admission.Admitted {
 		return refusal(verdict.NotRun, refusals[refused])
 	}
 	if req.Idempotent || req.Key == "" || o.claims == nil {
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -139,7 +139,7 @@
 	case "acquire":
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		p.decision = acquireDecisions[p.gate.Acquire(ctx, admission.Change)]
+		p.decision = acquireDecisions[p.gate.Acquire(ctx, admission.Change, "")]
 	default:
 		return errors.Errorf("unknown gate operation %q", l.Op)
 	}
