proxy: a pause that ends after the deadline is not waited for

Seen by callers of the product's own path: with all upstreams full and little time left they were refused at their deadline. Cause: the backoff between attempts slept until it or the deadline ended, although it was known which came first. Change: the last refusal is returned at once then.

--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -123,11 +123,15 @@
 // atCapacity reports whether an upstream that refused for this reason may accept requests again soon.
 func atCapacity(r Reason) bool { return r == ReasonFull || r == ReasonCold }
 
-// waitBackoff waits for the backoff with the given number, counted from 0, with jitter. It returns
-// false when ctx ends first.
+// waitBackoff waits for the backoff with the given number, counted from 0, with jitter. It returns false when ctx ends
+// first, and at once when the deadline comes first.
 func waitBackoff(ctx context.Context, n int) bool {
 	mean := firstBackoff << n
-	return duration.Sleep(ctx, mean/2+rand.N(mean))
+	pause := mean/2 + rand.N(mean)
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= pause {
+		return false
+	}
+	return duration.Sleep(ctx, pause)
 }
 
 func (e *Entry) attempt(ctx context.Context, ep *routing.Endpoint, req *Request, retry bool) *Response {
--- a/internal/proxy/retry_test.go
+++ b/internal/proxy/retry_test.go
@@ -189,3 +189,16 @@
 		})
 	}
 }
+
+// All upstreams are full, and the caller has less time left than the shortest pause before the next attempt. It was
+// refused when its time was over; nothing can change before that.
+func TestPauseBeyondTheDeadlineIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedPeers{respond: func(*Request) *Response { return &Response{Verdict: verdict.NotRun, Reason: ReasonFull} }}
+		start := time.Now()
+		res := scriptedEntry(2, s).Dispatch(t.Context(), &Request{Service: "orders", Method: "POST", URI: "/"}, "/", firstBackoff/2, time.Second)
+		if res.Verdict != verdict.NotRun || res.Reason != ReasonFull || time.Since(start) > 0 || len(s.requests) != 2 {
+			t.Errorf("got verdict %v, reason %s after %v and %d attempts, want %v, %s at once after 2", res.Verdict, res.Reason, time.Since(start), len(s.requests), verdict.NotRun, ReasonFull)
+		}
+	})
+}
