canary: the outcome in the store replaces what any node has decided

Cause: the record in the store was not the truth on a rollout. A rollback in gossip outranked it, an unread record counted as a new rollout after 1.5 s, and missing evidence as a reason to roll back. Change: a recorded outcome has the highest sequence number and is spread by whoever reads or writes it. A rollout of unknown age begins only when its record is read, by the coordinator or, if the store turns that away, by a standby; one whose order arrived while the node followed the topic still begins without the store. A completion, and a rollback because time ran out, take effect when the store holds them; a rollback for a fault takes effect at once, as before. Store calls no longer hold up decisions.

--- a/internal/canary/assess.go
+++ b/internal/canary/assess.go
@@ -175,8 +175,9 @@
 	share float64
 	// done is set when the rollout is completed.
 	done bool
-	// reason is set when the version is rolled back.
+	// reason is set when the version is rolled back, fault if that is because it is faulty.
 	reason string
+	fault  bool
 }
 
 // decide returns the next action for a rollout that has run for elapsed of duration. It has been
@@ -193,7 +194,7 @@
 
 func decideStep(bound Bound, old, next tally, at int, elapsed, stepTime, duration time.Duration, upstreams, oldInFlight int) decision {
 	if reason := assess(old, next); reason != "" {
-		return decision{step: at, reason: reason}
+		return decision{step: at, reason: reason, fault: true}
 	}
 	elapsedRatio := float64(elapsed) / float64(duration)
 	if at < 0 {
--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -45,11 +45,12 @@
 // gets no traffic again.
 const factTTL = 24 * time.Hour
 
-// Sequence numbers of a rollout's facts: steps count from 1, an outcome supersedes steps, and
-// a rollback supersedes a completion.
+// Sequence numbers of a rollout's facts: steps count from 1, an outcome supersedes steps, a rollback supersedes a
+// completion, and the outcome in the store, which the operator has acted on, supersedes what any node has decided.
 const (
 	seqCompleted  = 1 << 20
 	seqRolledBack = 1 << 21
+	seqRecorded   = 1 << 22
 )
 
 // state is the progress of a rollout, as it spreads to all nodes.
@@ -64,7 +65,9 @@
 	// Share of the requests at the step.
 	Share   float64        `json:"h"`
 	Outcome orders.Outcome `json:"o"`
-	Reason  string         `json:"r,omitempty"`
+	// Recorded is set if the store holds Outcome, which is final.
+	Recorded bool   `json:"k,omitempty"`
+	Reason   string `json:"r,omitempty"`
 }
 
 func (s state) share() float64 {
@@ -79,10 +82,12 @@
 }
 
 func (s state) sequence() int64 {
-	switch s.Outcome {
-	case orders.Completed:
+	switch {
+	case s.Recorded && s.Outcome.Final():
+		return seqRecorded
+	case s.Outcome == orders.Completed:
 		return seqCompleted
-	case orders.RolledBack:
+	case s.Outcome == orders.RolledBack:
 		return seqRolledBack
 	default:
 		return int64(s.Step) + 1
@@ -96,6 +101,10 @@
 	seen    time.Time
 	state   state
 	changed time.Time
+	// proposed is the state with the outcome that this node would end the rollout with, once the store holds it.
+	proposed state
+	// isNew is set if the order arrived while this node followed the topic: nobody can have ended the rollout yet.
+	isNew bool
 	// recorded is the outcome last read from or written to the store; Unknown again when the store may have lost it.
 	recorded orders.Outcome
 	// reported is the final outcome that the store has held.
@@ -162,8 +171,14 @@
 	switch {
 	case r == nil || r.order.Version != s.Version:
 	case same:
+		known := r.state
 		r.state, r.changed = s, time.Now()
-		c.report(s)
+		if s.Recorded {
+			r.recorded = s.Outcome
+		}
+		if known.Outcome != s.Outcome || !s.Outcome.Final() {
+			c.report(s)
+		}
 	case s.Era < r.order.Era && r.state.Step < 0 && !r.state.Outcome.Final():
 		c.inherit(r, s)
 	}
@@ -192,6 +207,9 @@
 	defer c.mu.Unlock()
 	for service, order := range now.Rollouts {
 		c.applyOrder(service, order)
+		if r := c.rollouts[service]; old.Era == order.Era && order.Accepted >= old.Next {
+			r.isNew = true
+		}
 	}
 	for service := range c.rollouts {
 		if _, ok := now.Rollouts[service]; !ok {
--- a/internal/canary/coordinator.go
+++ b/internal/canary/coordinator.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"celerybank/internal/events"
@@ -33,18 +36,31 @@
 	standbyDelay = 1200 * time.Millisecond
 )
 
-// Run decides on the rollouts that this node coordinates until ctx ends.
+// Run decides on the rollouts that this node coordinates, and records their outcomes, until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
+	var loops conc.WaitGroup
+	defer loops.Wait()
+	// A slow store must not hold up the decisions: a faulty version is rolled back without it.
+	loops.Go(func() { c.each(ctx, c.decide) })
+	loops.Go(func() { c.each(ctx, c.recordNext) })
+	return nil
+}
+
+// each calls f every decideInterval with each rollout whose final outcome is not known to be in the store, and with this
+// node's rank among its coordinators.
+func (c *Controller) each(ctx context.Context, f func(ctx context.Context, r rollout, rank int)) {
 	tick := time.NewTicker(decideInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-tick.C:
 		}
 		for _, r := range c.unrecorded() {
-			c.process(ctx, r)
+			if rank := slices.Index(orders.Coordinators(r.order.Service, c.Members.Alive()), c.Addr); rank >= 0 {
+				f(ctx, r, rank)
+			}
 		}
 	}
 }
@@ -62,23 +78,26 @@
 	return out
 }
 
-// process performs this node's next action for one rollout.
-func (c *Controller) process(ctx context.Context, r rollout) {
-	rank := slices.Index(orders.Coordinators(r.order.Service, c.Members.Alive()), c.Addr)
-	if rank >= 0 && rank <= maxStandbys && r.republish {
+// decide performs the next step of a rollout whose state is known. It goes on while the store may have lost the record.
+func (c *Controller) decide(ctx context.Context, r rollout, rank int) {
+	if rank == 0 && !r.state.Outcome.Final() && (r.recorded != orders.Unknown || !r.lostAt.IsZero()) {
+		c.advance(ctx, r)
+	}
+}
+
+// recordNext performs the next call to the store for a rollout.
+func (c *Controller) recordNext(ctx context.Context, r rollout, rank int) {
+	if rank <= maxStandbys && r.republish {
 		c.republish(r)
 	}
 	switch {
-	case rank < 0:
 	case r.state.Outcome.Final():
 		c.recordFinal(ctx, r, rank)
-	case rank == 0 && r.recorded == orders.Unknown && r.lostAt.IsZero():
+	case rank == 0 && r.proposed.Outcome.Final():
+		r.state = r.proposed
+		c.record(ctx, r, r.proposed.Outcome)
+	case rank == 0 && r.recorded == orders.Unknown:
 		c.record(ctx, r, orders.Running)
-	case rank == 0:
-		if r.recorded == orders.Unknown {
-			c.record(ctx, r, orders.Running) // lost: the rollout goes on meanwhile
-		}
-		c.advance(ctx, r)
 	}
 }
 
@@ -108,29 +127,83 @@
 const maxStandbys = 3
 
 // record writes o to the store unless it is there already or a final outcome is. The first final
-// outcome in the store wins; one that was reported before the store lost it is written again.
+// outcome in the store wins; one that was reported before the store lost it is written again. A node that the store turns
+// away asks a standby to do it.
 func (c *Controller) record(ctx context.Context, r rollout, o orders.Outcome) {
 	if time.Now().Before(r.nextTry) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	stored, at, err := c.Outcomes.Outcome(ctx, r.order)
 	if r.reported.Final() {
 		o = r.reported
 	}
-	if err == nil && stored != o && (!stored.Final() || r.reported.Final()) {
-		if err = c.Outcomes.Record(ctx, r.order, o, at); err == nil {
-			stored = o
-			c.Events.Emit(events.CanaryRecorded, events.Fields{"service": r.order.Service, "version": r.order.Version, "outcome": o.String()})
+	stored, err := c.write(ctx, r.order, o, r.reported.Final())
+	if err != nil {
+		if relayed, relayErr := c.writeThroughStandby(ctx, r.order, o); relayErr == nil {
+			stored, err = relayed, nil
 		}
 	}
 	c.applyRecorded(r, stored, err)
 }
 
+// write reads the outcome in the store and replaces it by o if it is not final, or if replace is set. It returns the outcome
+// that the store then holds.
+func (c *Controller) write(ctx context.Context, order orders.Rollout, o orders.Outcome, replace bool) (stored orders.Outcome, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	stored, at, err := c.Outcomes.Outcome(ctx, order)
+	if err != nil || stored == o || stored.Final() && !replace {
+		return stored, err
+	}
+	if err = c.Outcomes.Record(ctx, order, o, at); err != nil {
+		return stored, err
+	}
+	c.Events.Emit(events.CanaryRecorded, events.Fields{"service": order.Service, "version": order.Version, "outcome": o.String()})
+	return o, nil
+}
+
+// RecordRequest asks a standby to write an outcome to the store unless a final one is there.
+type RecordRequest struct {
+	Service  string         `msgpack:"s"`
+	Version  string         `msgpack:"v"`
+	Accepted int64          `msgpack:"a"`
+	Era      int64          `msgpack:"e"`
+	Outcome  orders.Outcome `msgpack:"o"`
+}
+
+// RecordReply has the outcome that the store holds.
+type RecordReply struct {
+	Stored orders.Outcome `msgpack:"o"`
+}
+
+// writeThroughStandby asks one of the standbys to write an outcome, at random: the store may turn some of them away too.
+func (c *Controller) writeThroughStandby(ctx context.Context, order orders.Rollout, o orders.Outcome) (orders.Outcome, error) {
+	standbys := orders.Coordinators(order.Service, c.Members.Alive())
+	standbys = slices.DeleteFunc(standbys[:min(len(standbys), maxStandbys+1)], func(addr string) bool { return addr == c.Addr })
+	if len(standbys) == 0 {
+		return orders.Unknown, errNoStandby
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout+peerTimeout)
+	defer cancel()
+	var reply RecordReply
+	err := c.Peers.Call(ctx, standbys[rand.IntN(len(standbys))], "Canary.Record",
+		&RecordRequest{Service: order.Service, Version: order.Version, Accepted: order.Accepted, Era: order.Era, Outcome: o}, &reply)
+	return reply.Stored, err
+}
+
+var errNoStandby = errors.New("no other node may record the outcome")
+
+// Record writes an outcome for a coordinator that the store turns away. The method name is part of the protocol.
+func (s *Service) Record(q *RecordRequest, reply *RecordReply) (err error) {
+	if q.Outcome != orders.Running && !q.Outcome.Final() {
+		return errors.Errorf("outcome %d cannot be recorded", q.Outcome)
+	}
+	order := orders.Rollout{Service: q.Service, Version: q.Version, Accepted: q.Accepted, Era: q.Era}
+	reply.Stored, err = s.c.write(context.Background(), order, q.Outcome, false)
+	return err
+}
+
 // applyRecorded handles the result of record: the outcome in the store, or an error, after which the
-// store is called again with exponential backoff. A final outcome that differs from the local
-// state replaces it.
+// store is called again with exponential backoff. A final outcome in the store replaces the state of all nodes.
 func (c *Controller) applyRecorded(r rollout, stored orders.Outcome, err error) {
 	c.mu.Lock()
 	current := c.rollouts[r.order.Service]
@@ -141,39 +214,58 @@
 	if err != nil {
 		current.nextTry = time.Now().Add(current.backoff)
 		current.backoff = min(2*current.backoff, maxBackoff)
-		if r.recorded == orders.Unknown && time.Since(current.seen) > storeTimeout {
-			current.recorded = orders.Running // an unavailable store does not block the rollout
+		if r.recorded == orders.Unknown && (current.isNew || current.state.Step >= 0) && time.Since(current.seen) > storeTimeout {
+			current.recorded = orders.Running // an unavailable store does not block a rollout that is known to run
 		}
 		c.mu.Unlock()
 		c.Events.Emit(events.SourceUnavailable, events.Fields{"reason": err.Error(), "service": r.order.Service})
 		return
 	}
 	current.recorded, current.backoff = stored, minBackoff
-	differs := stored.Final() && current.state.Outcome != stored
+	spread := stored.Final() && !(current.state.Recorded && current.state.Outcome == stored)
 	c.mu.Unlock()
-	if differs {
-		s := r.state
+	if !spread {
+		return
+	}
+	s := r.state
+	if s.Outcome != stored {
 		s.Outcome, s.Reason = stored, "the store holds this outcome"
-		c.publish(s)
 	}
+	s.Recorded = true
+	c.publish(s)
 }
 
-// advance collects evidence, decides on the next action and publishes it.
+// advance collects evidence, decides on the next action and publishes it. An outcome for another reason than a fault of the
+// version is proposed only: a node that is cut off lacks the evidence, and the store too.
 func (c *Controller) advance(ctx context.Context, r rollout) {
 	e := c.collect(ctx, r.order)
 	d := decide(c.Bound, e.old, e.next, r.state.Step, time.Since(r.seen), time.Since(r.changed), r.order.Duration, e.upstreams, e.oldInFlight)
-	s := r.state
+	s, proposed := r.state, state{}
 	switch {
-	case d.reason != "":
+	case d.fault:
 		s.Outcome, s.Reason = orders.RolledBack, d.reason
+	case d.reason != "":
+		proposed = s
+		proposed.Outcome, proposed.Reason = orders.RolledBack, d.reason
 	case d.done:
-		s.Outcome = orders.Completed
+		proposed = s
+		proposed.Outcome = orders.Completed
 	case d.step != s.Step:
 		s.Step, s.Share = d.step, d.share
-	default:
-		return
 	}
-	c.publish(s)
+	c.propose(r.order, proposed)
+	if s != r.state {
+		c.publish(s)
+	}
+}
+
+// propose sets the state with the outcome that is to be recorded; the zero state withdraws it.
+func (c *Controller) propose(order orders.Rollout, s state) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if current := c.rollouts[order.Service]; current != nil && current.order == order {
+		current.proposed = s
+	}
 }
 
 // publish applies a state and spreads it to all nodes as a fact.
