rollout: the history of the old version does not outvote its present

Cause: shortly after a step the window of both versions holds a few requests. With fewer than 20 of the old version in it and none failed, its history was the reference, to which a fault that has just begun is unknown; three failures were enough. Not the cause that was supposed (counts of different age). Change: while the old version serves requests, enough in the rollout to show a fault of both in a moment, it is compared over the same window only. The history counts where it has no requests: after the last step and in quiet services. Evidence: TestHistoryDoesNotOutvoteAnOldVersionThatServes, before: 'got bad true, route show: 3 of 4 requests failed, old version 0 of 4009, p=4e-10'.

--- a/internal/rollout/assess.go
+++ b/internal/rollout/assess.go
@@ -125,9 +125,11 @@
 // reference returns the old version's counts of a window. If the window has fewer than
 // minReference requests and none were bad since the rollout began, it returns the history instead.
 // With bad requests the history is no reference: a current fault of the old version is not in it,
-// and a window that has just begun may not show the fault yet.
+// and a window that has just begun may not show the fault yet. Neither is it while the old version serves enough
+// requests to show a fault of both versions in a moment.
 func reference(m measure, o [windows]Counts, w int) (c Counts, isHistory bool) {
-	if o[w].Total < minReference && !anyBad(m, o[w]) && !anyBad(m, o[windowRollout]) {
+	serves := o[windowStep].Total > 0 && o[windowRollout].Total >= minReference
+	if o[w].Total < minReference && !serves && !anyBad(m, o[w]) && !anyBad(m, o[windowRollout]) {
 		return o[windowHistory], true
 	}
 	return o[w], false
--- a/internal/rollout/assess_test.go
+++ b/internal/rollout/assess_test.go
@@ -109,3 +109,27 @@
 		}
 	}
 }
+
+// A dependency of both versions begins to fail. Among the first requests after that three of the new version failed and, by
+// chance, none of the old one, whose history of thousands then outvoted the present: the new version was rolled back.
+func TestHistoryDoesNotOutvoteAnOldVersionThatServes(t *testing.T) {
+	counts := func(total, failed uint64) Counts { return Counts{Total: total, Failed: failed} }
+	for _, c := range []struct {
+		name     string
+		old, new [windows]Counts
+		want     bool
+	}{
+		{"first moments of a fault", [windows]Counts{counts(9, 0), counts(9, 0), counts(1000, 0), counts(4009, 0)},
+			[windows]Counts{counts(4, 3), counts(4, 3), counts(120, 3), counts(120, 3)}, false},
+		{"two seconds later, the old version is well", [windows]Counts{counts(180, 0), counts(180, 0), counts(1180, 0), counts(4189, 0)},
+			[windows]Counts{counts(20, 10), counts(20, 10), counts(136, 10), counts(136, 10)}, true},
+		{"the old version gets no requests any more", [windows]Counts{{}, {}, counts(1000, 0), counts(4009, 0)},
+			[windows]Counts{counts(40, 12), counts(40, 12), counts(160, 12), counts(160, 12)}, true},
+		{"a service with few requests", [windows]Counts{counts(2, 0), counts(8, 0), counts(8, 0), counts(3000, 0)},
+			[windows]Counts{counts(3, 3), counts(5, 5), counts(5, 5), counts(5, 5)}, true},
+	} {
+		if f := assess(tally{"show": &c.old}, tally{"show": &c.new}); f.bad != c.want {
+			t.Errorf("%s: got bad %v, %s; want %v", c.name, f.bad, f.text, c.want)
+		}
+	}
+}
