rollout: a version that has failed each of its requests is paused

Cause: to be sure, the comparison needs requests of the old version too, and meanwhile the new one kept its share of a third. Change: once it has failed all of at least three requests and the finding is inconclusive, its share is zero. The old version then serves the requests that are wanted for the comparison; if they clear the new one, it goes on. Evidence: TestVersionThatFailsEachRequestIsPaused, before: 'three of three failed: got action inconclusive, want a pause'.

--- a/internal/rollout/pace.go
+++ b/internal/rollout/pace.go
@@ -27,6 +27,9 @@
 	minSamples    = 3
 	// minSampleRatio is the ratio of the requests expected at a share that must have been counted.
 	minSampleRatio = 1.0 / 3
+	// pauseFailures is the number of requests of the new version, all of them failed, from which it gets none while the
+	// finding is inconclusive.
+	pauseFailures = 3
 	// slotHeadroom is the factor by which the new version's slots must exceed the demand.
 	slotHeadroom = 1.25
 	// finishMargin is the time before the deadline at which the last decision is made, so that its
@@ -129,6 +132,9 @@
 	if !s.now.Before(s.rollout.By.Add(-finishMargin)) && (s.partial == "" || !s.now.Before(s.rollout.By)) {
 		return s.finish(f, blocked)
 	}
+	if f.doubtful && s.failsAll() && s.rollout.Share > 0 {
+		return action{mesh.RolloutRunning, 0, "paused: " + f.text}
+	}
 	if blocked != "" {
 		return hold("%s", blocked)
 	}
@@ -142,6 +148,13 @@
 	return action{mesh.RolloutRunning, share, s.summary()}
 }
 
+// failsAll reports whether the new version has failed all of its requests so far. In a service with few requests it takes
+// many of the old version to be sure that this is no chance; the callers need not lose more until then.
+func (s *situation) failsAll() bool {
+	n := s.new.total(windowRollout)
+	return n.Total >= pauseFailures && n.Failed == n.Total
+}
+
 // finish ends a rollout at its deadline. blocked is the reason why the share was held, if any.
 func (s *situation) finish(f finding, blocked string) action {
 	enough := s.rollout.Share == mesh.FullShare && s.new.total(windowRollout).Total >= minSamples && !f.doubtful
