--- a/internal/canary/assess.go
+++ b/internal/canary/assess.go
@@ -175,9 +175,10 @@
 	share float64
 	// done is set when the rollout is completed.
 	done bool
-	// reason is set when the version is rolled back, fault if that is because it is faulty.
+	// reason is set when the version is rolled back.
 	reason string
-	fault  bool
+	// fault is set if the reason is a fault of the version.
+	fault bool
 }
 
 // decide returns the next action for a rollout that has run for elapsed of duration. It has been
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -262,12 +262,12 @@
 	res := o.send(ctx, up, req)
 	o.running.remove(req)
 	o.Gate.Release(req.Route, processingTime(res))
-	o.tellWhenToReturn(res)
+	o.setRetryAfter(res)
 	return res
 }
 
-// tellWhenToReturn sets when there may be room for a request that had a slot and was rejected for lack of room all the same.
-func (o *Owner) tellWhenToReturn(res *proxy.Response) {
+// setRetryAfter sets the Retry-After of a request that had a slot and was rejected for lack of room all the same.
+func (o *Owner) setRetryAfter(res *proxy.Response) {
 	if res.Verdict == verdict.NotRun && (res.Reason == proxy.ReasonShed || res.Reason == proxy.ReasonTooLate) {
 		res.RetryAfter = o.Gate.RetryAfter()
 	}
--- a/internal/delivery/owner_test.go
+++ b/internal/delivery/owner_test.go
@@ -103,7 +103,7 @@
 		{verdict.Ran, proxy.ReasonNone, false},
 	} {
 		res := &proxy.Response{Verdict: c.verdict, Reason: c.reason}
-		o.tellWhenToReturn(res)
+		o.setRetryAfter(res)
 		if told := res.RetryAfter >= initialMeanTime/4 && res.RetryAfter <= 2*initialMeanTime; told != c.want || !told && res.RetryAfter != 0 {
 			t.Errorf("%v, %s: got RetryAfter %v, want one: %v", c.verdict, c.reason, res.RetryAfter, c.want)
 		}
--- a/internal/rollout/assess_test.go
+++ b/internal/rollout/assess_test.go
@@ -111,8 +111,8 @@
 }
 
 // A dependency of both versions begins to fail. Among the first requests after that three of the new version failed and, by
-// chance, none of the old one, whose history of thousands then outvoted the present: the new version was rolled back.
-func TestHistoryDoesNotOutvoteAnOldVersionThatServes(t *testing.T) {
+// chance, none of the old one; compared with the history of the old version, this rolled the new one back.
+func TestHistoryIsNoReferenceWhileTheOldVersionServes(t *testing.T) {
 	counts := func(total, failed uint64) Counts { return Counts{Total: total, Failed: failed} }
 	for _, c := range []struct {
 		name     string
