httpresponse, proxy: no Content-Type is added to an upstream's response

What callers saw: a response that an upstream sent without a Content-Type arrived with "text/plain; charset=utf-8", a field that the upstream had not written.

Cause: the HTTP library adds this default when the fields of a response that it has read are listed, and again when a response is written.

Evidence: internal/proxy TestNoContentTypeIsAddedToAResponse fails without the change, for what is read and for what is written.

Change: responses are read without the default, and the product's handler writes those of upstreams without it.

--- a/internal/httpresponse/response.go
+++ b/internal/httpresponse/response.go
@@ -18,6 +18,7 @@
 // or fasthttp.ErrBodyTooLarge come from the connection or the coding of the body.
 func Read(r *bufio.Reader, resp *fasthttp.Response, head bool, maxBody int) error {
 	resp.Reset()
+	resp.Header.SetNoDefaultContentType(true) // the library would add a field that the upstream has not sent
 	for range 1 + maxInterim {
 		status, err := readHead(r, &resp.Header)
 		switch {
--- a/internal/proxy/http.go
+++ b/internal/proxy/http.go
@@ -187,6 +187,7 @@
 		h.onResponse(res)
 	}
 	c.Response.SetStatusCode(statusOf(res))
+	c.Response.Header.SetNoDefaultContentType(res.Status != 0)
 	for _, f := range res.Header {
 		c.Response.Header.Add(f.Name, f.Value)
 	}
