soak: upstreams write malformed responses

Change: a new fault, drawn apart from the others, which a seed thus keeps: for 1 to 4 s one response in four of some upstreams has the status 000, a byte that no head has, or a blank in the name of a field. Callers read strictly. A caller that gets a malformed response, or a success although all upstreams that ran its request wrote malformed ones, breaks the invariant of complete responses. The fault is no disruption: it excuses nothing.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -11,9 +11,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
 	"celerybank/internal/duration"
+	"celerybank/internal/httpresponse"
 	"celerybank/platform/counterpart"
 )
 
@@ -93,6 +95,10 @@
 		resp, closing, err := c.read(conn)
 		if err != nil {
 			_ = conn.Close()
+			if errors.Is(err, httpresponse.ErrMalformed) {
+				c.checker.MalformedResponse(id, err)
+				return
+			}
 			if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
 				c.checker.ConnectionLost(id, conn.reused)
 			}
@@ -130,7 +136,7 @@
 func (c *callers) read(conn *callerConn) (res counterpart.ReceivedResponse, closing bool, err error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	if err := resp.Read(conn.r); err != nil {
+	if err := httpresponse.Read(conn.r, resp, false, 0); err != nil {
 		return res, true, err
 	}
 	return counterpart.ReadResponse(resp), resp.ConnectionClose(), nil
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -73,6 +73,7 @@
 	safe         bool
 	sent         time.Time
 	runs         int
+	malformed    int // runs whose response was malformed
 	refused      bool
 	served       bool
 }
@@ -242,6 +243,9 @@
 		return
 	}
 	q.served = r.Status/100 == 2
+	if q.served && q.malformed > 0 && q.malformed == q.runs {
+		c.violated(CompleteResponses, time.Now(), "%s got status %d although all responses of upstreams were malformed", id, r.Status)
+	}
 	if q.served && !r.Intact {
 		c.violated(CompleteResponses, time.Now(), "%s got status %d with a body that differs from its upstream's response", id, r.Status)
 	}
@@ -250,6 +254,22 @@
 	}
 }
 
+// MalformedWritten records that an upstream writes a malformed response to a request that it has run.
+func (c *Checker) MalformedWritten(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if q := c.requests[id]; q != nil {
+		q.malformed++
+	}
+}
+
+// MalformedResponse records that what a caller got as the response to a request is none; err says why.
+func (c *Checker) MalformedResponse(id string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violated(CompleteResponses, time.Now(), "%s got a malformed response: %v", id, err)
+}
+
 // ConnectionLost records that a connection ended without the response to a request that was sent
 // completely. reused means that the connection had carried requests before.
 func (c *Checker) ConnectionLost(id string, reused bool) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -43,6 +43,7 @@
 	ConfigStorm       Kind = "configurations in quick succession"
 	ZoneOutIn         Kind = "a zone is taken out and back in"
 	StoreRestored     Kind = "the store comes back from an older copy"
+	UpstreamMalformed Kind = "an upstream writes malformed responses"
 )
 
 // kinds is indexed by a random number: its order determines the faults of a seed.
@@ -80,6 +81,9 @@
 	// which a seed thus keeps.
 	meanRestoreInterval = 20 * time.Second
 	restoreSeed         = 0x50a7
+	// meanMalformedInterval is the mean time between two times of malformed responses, which are drawn apart as well.
+	meanMalformedInterval = 10 * time.Second
+	malformedSeed         = 0x50a8
 	// severalHostsOneIn is for the kinds that usually affect one host: one fault in so many may affect
 	// several.
 	severalHostsOneIn = 4
@@ -100,6 +104,7 @@
 		out = append(out, f)
 	}
 	out = append(out, restorations(seed, length)...)
+	out = append(out, malformedTimes(seed, length, hosts)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
@@ -115,3 +120,16 @@
 	}
 	return out
 }
+
+// malformedTimes returns the faults in which upstreams write malformed responses.
+func malformedTimes(seed uint64, length time.Duration, hosts int) (out []Fault) {
+	r := rand.New(rand.NewPCG(seed, malformedSeed))
+	next := func() time.Duration { return time.Duration(r.ExpFloat64() * float64(meanMalformedInterval)) }
+	for at := faultFreeStart + next()/2; at < length-faultFreeEnd; at += next() {
+		f := Fault{At: at, Duration: maxFaultDuration/4 + time.Duration(r.Int64N(int64(3*maxFaultDuration/4))), Kind: UpstreamMalformed,
+			Hosts: r.Perm(hosts)[:1+r.IntN(max(1, hosts/2))]}
+		slices.Sort(f.Hosts)
+		out = append(out, f)
+	}
+	return out
+}
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +35,8 @@
 	callers, upstreams, store, peers *proxy
 	up                               *upstream
 	upstreamStarts                   int
+	// malformed is set while the upstream writes malformed responses.
+	malformed atomic.Bool
 	// replacing is held while the upstream is replaced, restarting while the node is restarted.
 	replacing, restarting sync.Mutex
 
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -23,7 +23,7 @@
 			}
 		}
 	}
-	for _, k := range append(kinds, StoreRestored) {
+	for _, k := range append(kinds, StoreRestored, UpstreamMalformed) {
 		if !drawn[k] {
 			t.Errorf("no seed draws a fault of kind %q", k)
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -292,6 +292,10 @@
 		r.injectProxyFault(ctx, f, h, h.upstreams, blackhole, Unplanned)
 	case UpstreamSlow:
 		r.injectProxyFault(ctx, f, h, h.upstreams, delayData, Unplanned)
+	case UpstreamMalformed:
+		h.malformed.Store(true)
+		duration.Sleep(ctx, f.Duration) // also when ctx ends, the fault is ended
+		h.malformed.Store(false)
 	case UpstreamCrash:
 		defer r.checker.Disrupt(Unplanned, h.name)()
 		r.replaceUpstream(ctx, h, func() { h.up.crash(); duration.Sleep(ctx, f.Duration) })
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -119,7 +119,12 @@
 	}
 	status := u.execute(r, req)
 	u.running.Add(-1) // the node may send the next request once it has the response
-	if status != 0 {
+	switch {
+	case status == 0:
+	case u.host.malformed.Load() && rand.N(malformedOneIn) == 0:
+		u.checker.MalformedWritten(req.ID)
+		writeMalformed(w, req.ID, status)
+	default:
 		counterpart.WriteResponse(w, req.ID, status, responseBody(req.ID))
 	}
 }
