--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -48,6 +48,8 @@
 	// Slow is added to the processing time of requests whose path begins with SlowRoute.
 	Slow      time.Duration `json:"slow_ns"`
 	SlowRoute string        `json:"slow_route"`
+	// MalformedShare is the fraction, from 0 to 1, of the requests whose response has the status 000.
+	MalformedShare float64 `json:"malformed_share"`
 	// Shed refuses every request without running it.
 	Shed bool `json:"shed"`
 }
@@ -203,6 +205,10 @@
 		w.Header().Set(RunsHeader, strconv.Itoa(runs))
 	}
 	f := cfg.Faults
+	if f.MalformedShare > 0 && rand.Float64() < f.MalformedShare {
+		writeMalformed(w)
+		return
+	}
 	overloaded := f.FailAbove > 0 && inFlight > int64(f.FailAbove)
 	if overloaded || (f.FailShare > 0 && hasPrefix(r.URL.Path, f.FailRoute) && rand.Float64() < f.FailShare) {
 		http.Error(w, "internal fault", http.StatusInternalServerError)
@@ -216,6 +222,16 @@
 	_ = json.NewEncoder(w).Encode(echoResponse{cfg.Service, cfg.Version, s.instance, r.URL.Path, echo})
 }
 
+// writeMalformed writes a response with the status 000 and closes the connection.
+func writeMalformed(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler) // send no response
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}") // fails if the caller has closed the connection
+	_ = conn.Close()
+}
+
 func hasPrefix(path, prefix string) bool {
 	return len(path) >= len(prefix) && path[:len(prefix)] == prefix
 }
