--- a/internal/httpresponse/mutation_test.go
+++ b/internal/httpresponse/mutation_test.go
@@ -276,3 +276,25 @@
 		}
 	}
 }
+
+// BenchmarkRead shows what the check of a head costs beside the library's own reading.
+func BenchmarkRead(b *testing.B) {
+	text := strings.TrimSuffix(wellFormed["length"], next)
+	source := strings.NewReader(text)
+	r := bufio.NewReaderSize(source, 16<<10)
+	var resp fasthttp.Response
+	for name, read := range map[string]func() error{
+		"checked": func() error { return Read(r, &resp, false, maxTestBytes) },
+		"library": func() error { return resp.ReadLimitBody(r, maxTestBytes) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				source.Reset(text)
+				r.Reset(source)
+				if err := read(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
