--- a/internal/proxy/owner.go
+++ b/internal/proxy/owner.go
@@ -37,7 +37,7 @@
 	Succeeded Outcome = iota
 	// Failed means a response with status 500 or above.
 	Failed
-	// Unanswered means a timeout or a broken connection.
+	// Unanswered means a timeout, a broken connection or a malformed response.
 	Unanswered
 	// Abandoned means that the caller cancelled the request before the response.
 	Abandoned
