--- a/internal/httpresponse/mutation_test.go
+++ b/internal/httpresponse/mutation_test.go
@@ -22,9 +22,11 @@
 	trailerNames = regexp.MustCompile("\\A(?:[!#$%&'*+\\-.^_`|~0-9A-Za-z]+(?:[\\t ]*,[\\t ]*[!#$%&'*+\\-.^_`|~0-9A-Za-z]+)*(?:[\\t ]*,)?)?\\z")
 	lengthValue  = regexp.MustCompile(`\A[0-9]{1,18}\z`)
 	chunkLine    = regexp.MustCompile(`\A([0-9A-Fa-f]{1,15})(?:[\t ]*|;[^\r\n]*)\r\n`)
-	maxTestBytes = 1 << 20
 )
 
+// maxTestBytes is the maximum size of a body in these tests.
+const maxTestBytes = 1 << 20
+
 // reading is what a response means.
 type reading struct {
 	status int
@@ -102,7 +104,7 @@
 			return body, rest, ok
 		}
 		runes := []rune(text)
-		if err != nil || n > int64(maxTestBytes) || int64(len(runes)) < n+2 || string(runes[n:n+2]) != "\r\n" {
+		if err != nil || n > maxTestBytes || int64(len(runes)) < n+2 || string(runes[n:n+2]) != "\r\n" {
 			return "", "", false
 		}
 		body += string(runes[:n])
