platform, routes: decode workspaces with API keys and public routes

Cause: the operator's configuration may have a table tenants and a column public; the node ignored both.

Change: - routes.Config.Workspaces []Workspace{Name, Keys, Priority *int}; nil without the table, empty and not nil if the table has no rows. - routes.Route.Public bool. - (*routes.Table).HasWorkspaces, Workspaces and Workspace(key) *Workspace. Keys are found by a seeded hash. - platform.Bounds.FailClosed (fail_closed) and RevokeWithin (revoke_s, 5 s); not used yet. - A configuration is invalid if a key belongs to two workspaces, a name is used twice, a key is empty, or a name is empty or has control characters. The errors name workspaces, never keys.

Measured: go test ./platform ./internal/routes passes.

--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -18,6 +18,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Workspaces is nil if the configuration has no workspaces; requests then need no key.
+	Workspaces []Workspace
 }
 
 // Route defines the services that get the requests of one host name and path prefix, and the policy for them.
@@ -36,6 +38,8 @@
 	Attempts int
 	// Priority ranks routes for admission under overload; 0 is admitted first.
 	Priority int
+	// Public is set if requests need no key although the configuration has workspaces.
+	Public bool
 }
 
 // Target is one service of a route. Weight is relative to the sum of the weights of the route.
@@ -72,7 +76,7 @@
 			return errors.Wrap(err, "route "+r.Name)
 		}
 	}
-	return nil
+	return checkWorkspaces(c.Workspaces)
 }
 
 func (r *Route) check(services map[string]bool) error {
@@ -104,15 +108,18 @@
 
 // Table is the lookup table of one Config. It is immutable.
 type Table struct {
-	Version  uint64
-	Limits   Limits
-	byHost   map[string][]*Route // longest prefix first
-	services map[string]*Service
+	Version    uint64
+	Limits     Limits
+	byHost     map[string][]*Route // longest prefix first
+	services   map[string]*Service
+	workspaces []Workspace
+	keys       keyIndex
 }
 
 // NewTable returns the table of c, which must have passed Check. The table keeps references into c.
 func NewTable(c *Config) *Table {
-	t := &Table{Version: c.Version, Limits: c.Limits, byHost: map[string][]*Route{}, services: map[string]*Service{}}
+	t := &Table{Version: c.Version, Limits: c.Limits, byHost: map[string][]*Route{}, services: map[string]*Service{},
+		workspaces: c.Workspaces, keys: newKeyIndex(c.Workspaces)}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
