dispatch, proxy, platform: requests need the key of a workspace

Cause: keys were forwarded to upstreams as any header, and nobody checked them.

Change: - platform.ReadRequest returns a dispatch.Caller: Timeout, Key, KeyCount and Withheld, the header fields about keys and workspaces with their places. They are not in proxy.Request.Header, so that no event, fingerprint or message to another node has them. Without workspaces in the configuration the dispatcher puts them back. - Dispatcher: a request on a route that is not public, which is no child of a running request, needs exactly one key of a workspace; otherwise reason unauthorized, status 401, verdict not-run, no Retry-After, no retry. - proxy.Request.Workspace string (for branch usage): the name of the workspace at the owner; empty for child requests, for public routes and without workspaces. Rank is the priority of the workspace if it has one. - platform.Wire sets X-Tenant-Id from it, and removes both headers also from requests of entry nodes with an older configuration. - proxy.Request has its own array codec. msgpack decodes no struct array of another length, so that a further field would have broken the calls between two versions. A request without a workspace is encoded as before, byte for byte; owners of the version before answer one with a workspace with an error, which now counts as not-run.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -83,6 +83,12 @@
 	Timeout time.Duration
 	// Pipelines is set when responses to later requests on the connection may have to wait for this one.
 	Pipelines bool
+	// Key is the API key that the request carries and KeyCount the number of headers that carry one. Neither is logged or
+	// forwarded.
+	Key      string
+	KeyCount int
+	// Withheld are fields that are not in the request's header, in the order of their positions.
+	Withheld []WithheldField
 }
 
 // Dispatch routes one request. Method, URI, Host, Header, Body, RequestID and Caller of req are set.
@@ -92,6 +98,12 @@
 		return d.refuse(req, proxy.ReasonNotReady, jitter(notReadyRetry))
 	}
 	route := view.Table.Match(req.Host, path)
+	child, retry := d.Owner.Parent(req.RequestID)
+	workspace, refusal := d.authorize(view.Table, route, child, req, from)
+	if refusal != nil {
+		d.report(&requestState{req: req}, refusal)
+		return refusal
+	}
 	if route == nil {
 		return proxy.Refusal(verdict.NotRun, proxy.ReasonUnknownService)
 	}
@@ -103,8 +115,11 @@
 	defer cancel()
 	req.Service, req.Route, req.Idempotent = route.Pick(), route.Name, route.Idempotent
 	req.Rank = route.Priority
-	if child, retry := d.Owner.Parent(req.RequestID); child {
+	switch {
+	case child:
 		req.Rank, req.Hop.Retry = childRank, retry
+	case workspace != nil:
+		setWorkspace(req, workspace)
 	}
 	d.Budget.Deposit(req.Service)
 	st := &requestState{route: route, req: req, view: view, pipelined: from.Pipelines}
--- a/internal/proxy/entry.go
+++ b/internal/proxy/entry.go
@@ -228,6 +228,8 @@
 		return refusal(verdict.NotRun, ReasonPeerLost)
 	case ctx.Err() != nil:
 		return refusal(verdict.MayHaveRun, reasonOf(verdict.MayHaveRun, ctx.Err()))
+	case errors.As(err, &serverErr) && isUndecodable(serverErr):
+		return refusal(verdict.NotRun, ReasonNotReady)
 	case errors.As(err, &serverErr):
 		return refusal(verdict.MayHaveRun, ReasonBadRequest)
 	default:
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -17,10 +17,8 @@
 	Value string `msgpack:"v"`
 }
 
-// Request is the message in which the entry node sends a request to the owner.
+// Request is the message in which the entry node sends a request to the owner: an array of the fields in their order here.
 type Request struct {
-	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 the codec reads the tag
-
 	// ID is unique among the requests in flight of the entry node. Entry, the entry node's peer
 	// address, and ID identify the request to cancel.
 	ID    uint64 `msgpack:"i"`
@@ -61,6 +59,9 @@
 	WaitToDeadline bool          `msgpack:"x"`
 	// RateLimit is what the entry node has heard of the limit that the upstream names.
 	RateLimit ratelimit.Hint `msgpack:"l"`
+	// Workspace is the name of the workspace that the request is counted to; empty if it belongs to none. It must stay
+	// the last field: nodes of the version before do not send it.
+	Workspace string `msgpack:"z"`
 }
 
 // Reason says why a request was refused or failed.
@@ -114,6 +115,8 @@
 	// ReasonInvalidResponse means that the upstream's response was malformed, unsigned or encoded, or belonged to another request.
 	ReasonInvalidResponse Reason = "answer-spoiled"
 	ReasonBadRequest      Reason = "bad-request"
+	// ReasonUnauthorized means that the request needs an API key and has none, several or an unknown one.
+	ReasonUnauthorized Reason = "unauthorized"
 )
 
 // ReasonHeader is the response header with the reason for a refusal or failure.
--- a/internal/proxy/versions_test.go
+++ b/internal/proxy/versions_test.go
@@ -1,11 +1,15 @@
 package proxy
 
 import (
+	"bytes"
+	"net/rpc"
+	"reflect"
 	"testing"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"celerybank/internal/ratelimit"
 	"celerybank/internal/verdict"
 )
 
@@ -35,3 +39,64 @@
 		t.Errorf("response of an earlier version: got error %v, response %+v; want the fields that were sent and zero for the others", err, res)
 	}
 }
+
+// earlierRequest is a Request as nodes of the version before workspaces encode and decode it.
+type earlierRequest struct {
+	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 the codec reads the tag
+
+	ID                             uint64
+	Entry, Service, Route          string
+	Version, Instance, Method, URI string
+	Header                         []Field
+	Body                           []byte
+	Idempotent                     bool
+	Key                            string
+	Hop                            Hop
+	Timeout                        time.Duration
+	Host, RequestID, Caller        string
+	Rank                           int
+	MaxWait                        time.Duration
+	WaitToDeadline                 bool
+	RateLimit                      ratelimit.Hint
+}
+
+// Guards against a field that breaks the calls between nodes of two versions: msgpack decodes no array of another length.
+func TestRequestsOfOtherVersionsAreRead(t *testing.T) {
+	earlier := earlierRequest{ID: 7, Entry: "e", Service: "stock", Header: []Field{{Name: "a", Value: "b"}}, Body: []byte("x"), Hop: Hop{Depth: 2},
+		Timeout: time.Second, Rank: -1, WaitToDeadline: true, RateLimit: 3}
+	now := Request{ID: 7, Entry: "e", Service: "stock", Header: []Field{{Name: "a", Value: "b"}}, Body: []byte("x"), Hop: Hop{Depth: 2},
+		Timeout: time.Second, Rank: -1, WaitToDeadline: true, RateLimit: 3}
+	marshal := func(v any) []byte {
+		b, err := msgpack.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	text := marshal(&earlier)
+	if same := marshal(&now); !bytes.Equal(text, same) {
+		t.Errorf("request without a workspace: got %x, want %x as before", same, text)
+	}
+	var got Request
+	if err := msgpack.Unmarshal(text, &got); err != nil || !reflect.DeepEqual(got, now) {
+		t.Errorf("request of the version before: got error %v, request %+v; want %+v", err, got, now)
+	}
+	now.Workspace = "pulo780"
+	text = marshal(&now)
+	got = Request{}
+	if err := msgpack.Unmarshal(text, &got); err != nil || !reflect.DeepEqual(got, now) {
+		t.Errorf("request with a workspace: got error %v, request %+v; want %+v", err, got, now)
+	}
+	// The version before refuses such a request without running it.
+	if err := msgpack.Unmarshal(text, &earlier); err == nil || lostResponse(t.Context(), rpc.ServerError(err.Error())).Verdict != verdict.NotRun {
+		t.Errorf("request with a workspace at the version before: got error %v, want one with verdict not-run", err)
+	}
+	var elements []msgpack.RawMessage
+	if err := msgpack.Unmarshal(text, &elements); err != nil {
+		t.Fatal(err)
+	}
+	got = Request{}
+	if err := msgpack.Unmarshal(marshal(append(elements, marshal(&earlier))), &got); err != nil || !reflect.DeepEqual(got, now) {
+		t.Errorf("request of a later version: got error %v, request %+v; want %+v", err, got, now)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -98,7 +98,7 @@
 	n.gate = delivery.NewGate()
 	n.rollouts = canary.New(canary.Config{Addr: s.Peers, Members: n.members, Peers: n.pool, View: n.replica.View, Outcomes: platform.NewStatuses(n.store), Events: ev,
 		Running: n.gate.Running, Bound: canary.Bound{Share: s.Bounds.CanaryShare, Slack: s.Bounds.CanarySlack}})
-	n.owner = delivery.New(ctx, delivery.Config{Gate: n.gate, Dialer: network, Wire: platform.Wire{}, Table: n.table, RefusalReason: n.refusalReason,
+	n.owner = delivery.New(ctx, delivery.Config{Gate: n.gate, Dialer: network, Wire: platform.Wire{Workspaces: n.hasWorkspaces}, Table: n.table, RefusalReason: n.refusalReason,
 		Crashes: n.crashes, Observer: n.rollouts, Leaving: n.upstreamLeaves, Events: ev, Cold: delivery.ColdBound{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 		MeanProcessingTime: n.balancer.MeanProcessingTime,
 		ResponseMemory:     membudget.New(int64(responseMemoryFraction * float64(s.MemoryBytes)))})
@@ -119,6 +119,12 @@
 
 func (n *Node) table() *routes.Table { return n.replica.View().Table }
 
+// hasWorkspaces reports whether the configuration in force has workspaces.
+func (n *Node) hasWorkspaces() bool {
+	t := n.table()
+	return t != nil && t.HasWorkspaces()
+}
+
 func (n *Node) limits() routes.Limits {
 	if t := n.table(); t != nil {
 		return t.Limits
@@ -175,9 +181,9 @@
 // Serve handles one request of a caller. It implements ingress.Handler.
 func (n *Node) Serve(ctx context.Context, from ingress.Caller, in *fasthttp.Request, out *fasthttp.Response) {
 	start := time.Now()
-	req, path, timeout := platform.ReadRequest(in)
-	req.Caller = n.settings.Service
-	res := n.dispatch.Dispatch(ctx, req, path, dispatch.Caller{Timeout: timeout, Pipelines: from.Pipelines})
+	req, path, caller := platform.ReadRequest(in)
+	req.Caller, caller.Pipelines = n.settings.Service, from.Pipelines
+	res := n.dispatch.Dispatch(ctx, req, path, caller)
 	n.metrics.observe(res, time.Since(start))
 	platform.WriteResponse(out, req, res)
 }
