orders, dispatch: fail_closed refuses requests by keys that are not confirmed

Cause: a node that is separated from the store serves by keys that the operator has removed, for as long as it is separated.

Change: - orders.Follower keeps the latest time at which its position is known to have been that of the store: by a read of the store, or by an exchange that this node began with a node that has such a time. Ages travel in replies to pulls, only if asked for (PullRequest.Confirm, PullReply.Confirmed). Pushes confirm nothing, as they may arrive late. - With fail_closed, dispatch refuses requests that need a key with 503, not-run, reason configuration-unconfirmed and a Retry-After once there was no such time for revoke_s. A resumed process forgets its confirmation. - A node whose confirmation is older than half of revoke_s asks one of the nodes that watch the readers.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -47,6 +47,9 @@
 	Events   *events.Recorder
 	// ViewFresh reports whether this node's view of the other nodes is fresh enough to serve requests.
 	ViewFresh func() bool
+	// KeysConfirmed reports whether the keys of the configuration in force are recent enough to serve requests by them; nil means
+	// that they always are.
+	KeysConfirmed func() bool
 }
 
 // Dispatcher sends requests of callers to upstreams.
@@ -71,6 +74,8 @@
 	noUpstreamRetry = time.Second
 	// notReadyRetry is the mean Retry-After while this node has no configuration.
 	notReadyRetry = 500 * time.Millisecond
+	// unconfirmedRetry is the mean Retry-After while the configuration is not confirmed: about two exchanges with peers.
+	unconfirmedRetry = time.Second
 )
 
 // childRank ranks child requests before all others: if one is refused, the work already done for its
--- a/internal/dispatch/workspaces.go
+++ b/internal/dispatch/workspaces.go
@@ -17,7 +17,7 @@
 }
 
 // authorize returns the workspace of a request, nil if the request needs none, or the refusal if the request needs a key and has
-// no valid one. route is nil if none matches; such a request needs a key, so that only its holders learn which routes exist.
+// no valid one, or none can be told valid. route is nil if none matches; such a request needs a key, so that only its holders learn which routes exist.
 func (d *Dispatcher) authorize(t *routes.Table, route *routes.Route, child bool, req *proxy.Request, from Caller) (*routes.Workspace, *proxy.Response) {
 	switch {
 	case !t.HasWorkspaces():
@@ -26,6 +26,11 @@
 	case child, route != nil && route.Public:
 		return nil, nil
 	}
+	if d.KeysConfirmed != nil && !d.KeysConfirmed() {
+		res := proxy.Refusal(verdict.NotRun, proxy.ReasonUnconfirmed)
+		res.RetryAfter = jitter(unconfirmedRetry)
+		return nil, res
+	}
 	var workspace *routes.Workspace
 	if from.KeyCount == 1 {
 		workspace = t.Workspace(from.Key)
--- a/internal/dispatch/workspaces_test.go
+++ b/internal/dispatch/workspaces_test.go
@@ -101,3 +101,22 @@
 		t.Errorf("got %+v, want not ready", res)
 	}
 }
+
+// A node that may have missed the removal of a key refuses requests that need one, whatever the key, and no others.
+func TestUnconfirmedKeysAreNotTrusted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeOwner()
+		d := newWorkspaceDispatcher(f, []routes.Workspace{{Name: "pulo780", Keys: []string{"k1"}}})
+		d.KeysConfirmed = func() bool { return false }
+		for _, key := range []string{"k1", "k2"} {
+			if res := d.Dispatch(t.Context(), request("r1"), "/get/1", Caller{Key: key, KeyCount: 1}); res.Reason != proxy.ReasonUnconfirmed || res.Verdict != verdict.NotRun || res.RetryAfter == 0 {
+				t.Errorf("key %s: got %+v, want a refusal with a Retry-After", key, res)
+			}
+		}
+		for id, path := range map[string]string{"r2": "/open/1", "parent.1": "/get/1"} {
+			if res := d.Dispatch(t.Context(), request(id), path, Caller{}); res.Status != 200 {
+				t.Errorf("request %s to %s: got %+v, want that it is served", id, path, res)
+			}
+		}
+	})
+}
--- a/internal/orders/exchange.go
+++ b/internal/orders/exchange.go
@@ -33,6 +33,8 @@
 	// Digest is the hash of the orders in force; 0 if the node names none.
 	Digest uint64 `msgpack:"d,omitempty"`
 	Age    int64  `msgpack:"a"`
+	// Confirm asks for the age of the confirmation.
+	Confirm bool `msgpack:"c,omitempty"`
 }
 
 // PullReply carries the records from the requested position on; its Batch tells only the age of the era if the sender has no
@@ -42,6 +44,8 @@
 	Age   int64 `msgpack:"a"`
 	// Differs is set if other orders are in force at the sender although it has the same position.
 	Differs bool `msgpack:"d,omitempty"`
+	// Confirmed is the age of the sender's confirmation in milliseconds, at least 1; 0 if it has none.
+	Confirmed int64 `msgpack:"c,omitempty"`
 }
 
 // Empty is a response without content.
@@ -129,6 +133,9 @@
 		if turn%crossZonePeriod == 0 || f.outage.ongoing() || alone {
 			exchanges.Go(func() { f.pullFromAny(ctx, alive, otherZones) })
 		}
+		if f.needsConfirmation() {
+			exchanges.Go(func() { f.pullConfirmation(ctx, alive, turn) })
+		}
 	}
 }
 
@@ -159,8 +166,8 @@
 // pull fetches the missing records from a peer and reports whether it responded.
 func (f *Follower) pull(ctx context.Context, addr string) bool {
 	var reply PullReply
-	view := f.replica.View()
-	request := &PullRequest{Era: view.Era, Next: view.Next, Digest: f.replica.Digest(), Age: f.readerAge()}
+	view, start := f.replica.View(), time.Now()
+	request := &PullRequest{Era: view.Era, Next: view.Next, Digest: f.replica.Digest(), Age: f.readerAge(), Confirm: f.keepsConfirmed()}
 	err := f.call(ctx, addr, "Pull", request, &reply)
 	if ctx.Err() != nil {
 		return false
@@ -172,6 +179,7 @@
 	}
 	f.observeReader(time.Duration(reply.Age) * time.Millisecond)
 	f.replica.Apply(reply.Batch, addr)
+	f.confirmPull(&reply, start)
 	f.noteDifference(reply.Differs)
 	return true
 }
@@ -246,6 +254,7 @@
 func (s *Service) Pull(a *PullRequest, reply *PullReply) error {
 	s.f.observeReader(time.Duration(a.Age) * time.Millisecond)
 	reply.Age = s.f.readerAge()
+	reply.Confirmed = s.f.confirmationFor(a)
 	reply.Batch = s.f.replica.missing(a)
 	reply.Differs = s.f.replica.differs(a)
 	s.f.noteDifference(reply.Differs)
--- a/internal/orders/follow.go
+++ b/internal/orders/follow.go
@@ -101,6 +101,9 @@
 	fetching atomic.Bool
 	// contacts are the peers that did not respond to the last exchange.
 	contacts contacts
+	// confirmed is when the position of this node was last confirmed; confirmWithin is 0 if nothing depends on it.
+	confirmed     confirmation
+	confirmWithin time.Duration
 }
 
 // NewFollower returns a follower that keeps replica up to date while Run runs.
@@ -108,6 +111,7 @@
 	f := &Follower{replica: replica, source: source, peers: peers, members: members, events: ev, ready: make(chan struct{}),
 		contacts: newContacts(), seen: histories{}}
 	f.observeReader(0)
+	f.confirmed.init(time.Now())
 	return f
 }
 
@@ -237,7 +241,7 @@
 		return true, f.readAll(ctx)
 	}
 	f.storeCalls.Add(1)
-	start, wait := time.Now(), longPollTimeout
+	start, wait := time.Now(), f.pollTimeout()
 	if f.outage.ongoing() {
 		wait = 0
 	}
@@ -251,6 +255,7 @@
 		return true, f.readAll(ctx)
 	}
 	f.applyStored(batch)
+	f.confirmRead(batch, start, wait)
 	return len(batch.Records) > 0, nil
 }
 
@@ -269,6 +274,7 @@
 	f.findStarts(ctx, &batch)
 	batch.Merge = batch.Era == view.Era
 	f.applyStored(batch)
+	f.confirmed.record(start, start)
 	f.synced.Store(true)
 	return nil
 }
--- a/internal/orders/follow_test.go
+++ b/internal/orders/follow_test.go
@@ -263,6 +263,7 @@
 	for _, self := range f.members {
 		m := member{f, self}
 		f.followers[self.Addr] = NewFollower(NewReplica(testDecoder{}, nil), storeView{store, self.Addr}, m, m, nil)
+		f.followers[self.Addr].KeepConfirmed(confirmLimit)
 	}
 	for addr, x := range f.followers {
 		hostCtx, stop := context.WithCancel(ctx)
--- a/internal/orders/replica.go
+++ b/internal/orders/replica.go
@@ -90,6 +90,9 @@
 	// Era and Next are the position after the batch.
 	Era  int64 `msgpack:"e,omitempty"`
 	Next int64 `msgpack:"n"`
+	// End is the end of the topic in the store that the batch was read from, which may be beyond Next. It is not sent, and 0 if
+	// the batch has all records.
+	End int64 `msgpack:"-"`
 	// Starts says where the topic in this era and those before begins to differ from what it was before: records before
 	// that may have been copied from an earlier era.
 	Starts []EraStart `msgpack:"s,omitempty"`
--- a/internal/orders/replica_test.go
+++ b/internal/orders/replica_test.go
@@ -18,9 +18,13 @@
 	kind, name, _ := strings.Cut(r.Key, "/")
 	switch kind {
 	case "config":
-		text, _, _ := strings.Cut(string(r.Value), "\n")
+		text, more, _ := strings.Cut(string(r.Value), "\n")
 		v, err := strconv.ParseUint(text, 10, 64)
-		return Order{Config: &routes.Config{Version: v}}, err
+		c := &routes.Config{Version: v}
+		if more == "workspaces" {
+			c.Workspaces = []routes.Workspace{}
+		}
+		return Order{Config: c}, err
 	case "out":
 		return Order{ZoneOut: name}, nil
 	case "move":
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -117,6 +117,8 @@
 	ReasonBadRequest      Reason = "bad-request"
 	// ReasonUnauthorized means that the request needs an API key and has none, several or an unknown one.
 	ReasonUnauthorized Reason = "unauthorized"
+	// ReasonUnconfirmed means that the entry node may have missed that a key was removed.
+	ReasonUnconfirmed Reason = "configuration-unconfirmed"
 )
 
 // ReasonHeader is the response header with the reason for a refusal or failure.
--- a/internal/sidecar/process.go
+++ b/internal/sidecar/process.go
@@ -94,6 +94,7 @@
 func (n *Node) resumed(suspended time.Duration) {
 	n.process.staleUntil.Store(time.Now().Add(resumeHoldOff).UnixNano())
 	n.events.Emit(events.Woken, events.Fields{"slept_ms": suspended.Milliseconds()})
+	n.follower.ForgetConfirmation()
 	n.owner.AssumeCold(delivery.ColdResumed)
 	n.registry.Forget()
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -91,6 +91,9 @@
 	n.hosts = platform.NewHosts(n.store)
 	n.replica = orders.NewReplica(operator, ev)
 	n.follower = orders.NewFollower(n.replica, operator, n.pool.Repeating(), n.members, ev)
+	if s.Bounds.FailClosed {
+		n.follower.KeepConfirmed(s.Bounds.RevokeWithin)
+	}
 	n.balancer = balance.New(s.Zone)
 	n.members.Subscribe(n.balancer.Update)
 	n.members.SubscribeFacts(func(f gossip.Fact) { n.handoverInbox.observe(s.Peers, f) })
@@ -107,7 +110,8 @@
 	n.replica.Subscribe(n.ordersChanged)
 	n.budget = &dispatch.Budget{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Nodes: n.aliveMembers}
 	n.dispatch = dispatch.New(dispatch.Config{Addr: s.Peers, View: n.replica.View, Balancer: n.balancer, Owner: n.owner, Peers: n.pool,
-		Budget: n.budget, Crashes: n.crashes, Canaries: n.rollouts, Events: ev, ViewFresh: n.viewFresh})
+		Budget: n.budget, Crashes: n.crashes, Canaries: n.rollouts, Events: ev, ViewFresh: n.viewFresh,
+		KeysConfirmed: n.keysConfirmed})
 	n.ingress = ingress.New(ingress.Config{Handler: n, Limits: n.limits, BodyBytes: maxBodyBytes,
 		TotalBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes))})
 	n.metrics = newCallMetrics(n)
@@ -125,6 +129,11 @@
 	return t != nil && t.HasWorkspaces()
 }
 
+// keysConfirmed reports whether requests may be served by the keys of the configuration in force.
+func (n *Node) keysConfirmed() bool {
+	return !n.settings.Bounds.FailClosed || n.follower.ConfirmedWithin(n.settings.Bounds.RevokeWithin)
+}
+
 func (n *Node) limits() routes.Limits {
 	if t := n.table(); t != nil {
 		return t.Limits
