delivery: workspaces have their turns in rounds within a rank

Cause: the queue of an owner was ordered by rank and arrival, so that one workspace with many requests took nearly all turns.

A request that arrives comes after those of its round, so that one of a workspace without a turn waits for few others and is admitted although the queue is long. Requests that leave the queue unserved give their turns to later ones of their workspace. Requests without a workspace count as those of one workspace, which keeps their order of arrival where none has a workspace.

--- a/internal/delivery/gate.go
+++ b/internal/delivery/gate.go
@@ -18,6 +18,8 @@
 type SlotRequest struct {
 	// Rank orders queued requests; the lowest goes first.
 	Rank int
+	// Workspace is the name of the workspace of the request; those of one rank have their turns in rounds.
+	Workspace string
 	// Route is the name of the request's route, whose processing time is the work left.
 	Route string
 	// Deadline is when the caller's timeout expires.
@@ -39,9 +41,10 @@
 // maxQueued bounds the memory of the queue. The deadlines of the requests limit it long before.
 const maxQueued = 512
 
-// Gate is the only counter of an upstream's slots, and therefore exact. It queues requests for the slots by rank,
-// then by arrival, and refuses a request as soon as it is known that it cannot be served in the time that its caller
-// has left. A queued request loses its turn to higher ranks only.
+// Gate is the only counter of an upstream's slots, and therefore exact. It queues requests for the slots by rank, then in rounds
+// over the workspaces, then by arrival, and refuses a request as soon as it is known that it cannot be served in the time that its caller
+// has left. A queued request loses its turn only to higher ranks, and to
+// workspaces that had fewer turns.
 type Gate struct {
 	mu           sync.Mutex
 	open         bool
@@ -53,6 +56,8 @@
 	// progress is when a request last got or returned a slot.
 	progress time.Time
 	queue    []*queuedRequest // in the order of their turns
+	rounds   rounds
+	arrivals uint64 // counts the queued requests
 	// standingSince is when the queue was last empty.
 	standingSince time.Time
 	work          workEstimates
@@ -66,7 +71,7 @@
 
 // NewGate returns a Gate that admits nothing until Open.
 func NewGate() *Gate {
-	return &Gate{closedReason: proxy.ReasonNoUpstream, work: newWorkEstimates(), runningOn: map[string]int{}, sendTurn: make(chan struct{}, 1)}
+	return &Gate{closedReason: proxy.ReasonNoUpstream, work: newWorkEstimates(), runningOn: map[string]int{}, rounds: rounds{}, sendTurn: make(chan struct{}, 1)}
 }
 
 // Open admits up to slots concurrent requests and, until coldUntil, coldRate requests per second.
@@ -134,7 +139,7 @@
 		return Refusal{Reason: proxy.ReasonTooLate, RetryAfter: g.retryAfter(0)}, false
 	}
 	if len(g.queue) == 0 && g.running < g.capacity() && g.admission.admit(now) {
-		g.start(r.Route, now)
+		g.start(r, now)
 		g.mu.Unlock()
 		return Refusal{}, true
 	}
@@ -164,6 +169,7 @@
 		return w.refused, w.refused.Reason == proxy.ReasonNone
 	}
 	g.queue = slices.Delete(g.queue, i, i+1)
+	g.closeGaps()
 	if ctx.Err() == context.DeadlineExceeded {
 		return Refusal{Reason: proxy.ReasonTooLate}, false
 	}
@@ -203,10 +209,11 @@
 	g.admitQueued(g.progress)
 }
 
-// start gives a slot to a request of a route.
-func (g *Gate) start(route string, now time.Time) {
+// start gives a slot to a request.
+func (g *Gate) start(r SlotRequest, now time.Time) {
 	g.running++
-	g.runningOn[route]++
+	g.runningOn[r.Route]++
+	g.rounds.start(r)
 	g.progress = now
 }
 
@@ -214,7 +221,7 @@
 func (g *Gate) admitQueued(now time.Time) {
 	g.refuseUnservable(now)
 	for g.open && len(g.queue) > 0 && g.running < g.capacity() && g.admission.admit(now) {
-		g.start(g.queue[0].Route, now)
+		g.start(g.queue[0].SlotRequest, now)
 		close(g.queue[0].done)
 		g.queue = slices.Delete(g.queue, 0, 1)
 	}
--- a/internal/delivery/overload_test.go
+++ b/internal/delivery/overload_test.go
@@ -29,6 +29,7 @@
 	target         time.Duration
 	spread         float64
 	repeats        int
+	workspace      string
 }
 
 // simResult is what the callers of one route see.
@@ -201,7 +202,7 @@
 
 // simRequest returns the slot request of a caller whose first try was at first.
 func simRequest(r simRoute, first time.Time) SlotRequest {
-	return SlotRequest{Rank: r.rank, Route: r.name, Deadline: first.Add(r.deadline), WaitToDeadline: true}
+	return SlotRequest{Rank: r.rank, Workspace: r.workspace, Route: r.name, Deadline: first.Add(r.deadline), WaitToDeadline: true}
 }
 
 func simRelease(g *Gate, r simRoute, took time.Duration) { g.Release(r.name, took) }
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -244,7 +244,7 @@
 		return proxy.Refusal(verdict.NotRun, proxy.ReasonCrashing)
 	}
 	now := time.Now()
-	slot := SlotRequest{Rank: req.Rank, Route: req.Route, Deadline: now.Add(req.Timeout), MaxWait: req.MaxWait, WaitToDeadline: req.WaitToDeadline, RateLimit: req.RateLimit}
+	slot := SlotRequest{Rank: req.Rank, Workspace: req.Workspace, Route: req.Route, Deadline: now.Add(req.Timeout), MaxWait: req.MaxWait, WaitToDeadline: req.WaitToDeadline, RateLimit: req.RateLimit}
 	if refused, ok := o.Gate.Acquire(ctx, slot); !ok {
 		res := proxy.Refusal(verdict.NotRun, refused.Reason)
 		res.RetryAfter = refused.RetryAfter
--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -13,6 +13,9 @@
 	SlotRequest
 	done    chan struct{}
 	refused Refusal
+	// round is the round of its turn, and arrival its place in the order of arrivals.
+	round   int
+	arrival uint64
 }
 
 // backlog adds up the requests ahead of one in the queue, to estimate when its turn comes.
@@ -72,24 +75,23 @@
 // callers that have a few processing times only.
 const standingPerSlot = 2
 
-// enqueue queues a request by rank, then by arrival, or refuses it because it cannot be served.
+// enqueue queues a request by rank, then by the turns of the workspaces (see rounds), or refuses it because it cannot be served.
 func (g *Gate) enqueue(r SlotRequest, now time.Time) (*queuedRequest, Refusal) {
 	if len(g.queue) == 0 {
 		g.standingSince = now
 	}
-	turn := len(g.queue)
-	for turn > 0 && r.Rank < g.queue[turn-1].Rank {
-		turn--
-	}
+	w := &queuedRequest{SlotRequest: r}
+	turn := g.turnOf(w)
 	b := g.newBacklog(now)
-	for _, w := range g.queue[:turn] {
-		b.add(g.work.of(w.Route).mean)
+	for _, other := range g.queue[:turn] {
+		b.add(g.work.of(other.Route).mean)
 	}
 	wait := b.wait()
 	if reason := g.refusalReason(r, &b, wait); reason != proxy.ReasonNone {
 		return nil, Refusal{Reason: reason, RetryAfter: g.retryAfter(wait)}
 	}
-	w := &queuedRequest{SlotRequest: r, done: make(chan struct{})}
+	g.arrivals++
+	w.arrival, w.done = g.arrivals, make(chan struct{})
 	g.queue = slices.Insert(g.queue, turn, w)
 	return w, Refusal{}
 }
@@ -150,8 +152,11 @@
 		b.add(g.work.of(w.Route).mean)
 		kept = append(kept, w)
 	}
+	refused := len(kept) < len(g.queue)
 	clear(g.queue[len(kept):])
-	g.queue = kept
+	if g.queue = kept; refused {
+		g.closeGaps()
+	}
 }
 
 // capacityReason says what limits the requests to the upstream at the moment.
