celeryctl, metrics, docs: workspaces; children of requests that were given up need no key

Cause: operators could not see workspaces or why keys are refused. An upstream goes on with a request that its caller or its node has given up, and its child requests would have got 401.

Change: - celeryctl workspaces prints name, number of keys and priority of each workspace of the newest configuration, never a key. - Metrics celerybank_workspaces and celerybank_orders_confirmed_age_seconds; event confirmation-changed (227). - dispatch.Owner.Abandoned: children of requests given up with verdict may-have-run in the last 5 s need no key.

--- a/cmd/celeryctl/main.go
+++ b/cmd/celeryctl/main.go
@@ -45,6 +45,7 @@
 	addZoneCommands(app, o, commands)
 	addTransferCommands(app, o, commands)
 	addTraceCommand(app, o, commands)
+	addWorkspaceCommands(app, o, commands)
 	name, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "celeryctl: %v, try --help\n", err)
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -94,7 +94,8 @@
 // Owner handles requests for the upstream on this host.
 type Owner struct {
 	Config
-	running running
+	running   running
+	abandoned abandoned
 
 	// mu makes a change of the upstream and of the gate atomic.
 	mu             sync.Mutex
@@ -261,6 +262,7 @@
 	}
 	o.running.add(req)
 	res := o.send(ctx, up, req)
+	o.abandoned.add(req, res) // before remove, so that children find the request in one of them
 	o.running.remove(req)
 	o.Gate.Release(req.Route, processingTime(res))
 	o.setRetryAfter(res)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,6 +31,9 @@
 	// Parent reports whether the request with this ID is a child request, sent by the upstream of
 	// this host for a request that it is running, and whether that parent is a retry.
 	Parent(id string) (found, retry bool)
+	// Abandoned reports whether the request with this ID is a child request of one that was given up lately, which the upstream of
+	// this host may still be running.
+	Abandoned(id string) bool
 }
 
 // Config has the dependencies of a Dispatcher.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -66,6 +66,8 @@
 	return ok, retry
 }
 
+func (f *fakeOwners) Abandoned(id string) bool { return strings.HasPrefix(id, "abandoned.") }
+
 func ok(*proxy.Request) (*proxy.Response, error) {
 	return &proxy.Response{Verdict: verdict.Ran, Status: 200, ProcessingTime: 10 * time.Millisecond, Load: proxy.Load{Limit: 8}}, nil
 }
--- a/internal/dispatch/workspaces.go
+++ b/internal/dispatch/workspaces.go
@@ -23,7 +23,7 @@
 	case !t.HasWorkspaces():
 		restore(req, from.Withheld)
 		return nil, nil
-	case child, route != nil && route.Public:
+	case child, route != nil && route.Public, from.KeyCount == 0 && d.Owner.Abandoned(req.RequestID):
 		return nil, nil
 	}
 	if d.KeysConfirmed != nil && !d.KeysConfirmed() {
--- a/internal/dispatch/workspaces_test.go
+++ b/internal/dispatch/workspaces_test.go
@@ -54,6 +54,7 @@
 		{"public route with an unknown key", "r1", "/open/1", []string{"k4"}, false, "", 3},
 		{"child of a running request", "parent.1", "/get/1", nil, false, "", childRank},
 		{"child with a key", "parent.1", "/get/1", []string{"k1"}, false, "", childRank},
+		{"child of a request that was given up", "abandoned.1", "/get/1", nil, false, "", 2},
 		{"child of no running request", "other.1", "/get/1", nil, true, "", 0},
 	} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/events/sidecar.go
+++ b/internal/events/sidecar.go
@@ -11,6 +11,7 @@
 	ExchangeFailed     Code = 224
 	StoreRestored      Code = 225
 	BatchIgnored       Code = 226
+	ConfirmedChanged   Code = 227
 	Reloaded           Code = 104
 	Woken              Code = 105
 	Strained           Code = 106
@@ -47,6 +48,7 @@
 	ExchangeFailed:     {"exchange-failed", logrus.InfoLevel, "A peer did not respond to an exchange of positions in the operator's topic; the field reason gives the error."},
 	StoreRestored:      {"store-restored", logrus.WarnLevel, "The store came back from a copy and may have lost records; era counts its restorations, before was the number known until now, next is the position of the store and position that of this node."},
 	BatchIgnored:       {"batch-ignored", logrus.InfoLevel, "Records read from the store were not applied, since this node is ahead of them; era and next are those of the batch."},
+	ConfirmedChanged:   {"confirmation-changed", logrus.WarnLevel, "With the setting fail_closed: this node began to refuse requests that need a key, since nothing confirmed its configuration for revoke_s, or serves them again; the field confirmed says which."},
 	Reloaded:           {"reloaded", logrus.InfoLevel, "The settings file was reloaded; the field cause says what triggered it."},
 	Woken:              {"woken", logrus.WarnLevel, "The process was suspended for slept_ms and has resumed; its state may be outdated, so it serves no requests for a moment and forgets its upstream until the next announcement."},
 	Strained:           {"strained", logrus.WarnLevel, "The process is CPU-starved: its timers run late, on average by late_ms. It reports itself not ready for new callers during for_ms."},
--- a/internal/orders/confirm.go
+++ b/internal/orders/confirm.go
@@ -66,6 +66,9 @@
 	return known && age < limit
 }
 
+// ConfirmationAge returns the time since the position of this node was last confirmed; known is false if it never was.
+func (f *Follower) ConfirmationAge() (age time.Duration, known bool) { return f.confirmed.age() }
+
 // ForgetConfirmation makes the position count as not confirmed, after the process was suspended.
 func (f *Follower) ForgetConfirmation() { f.confirmed.forget() }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -36,6 +36,8 @@
 	m.set.NewGauge("celerybank_members", func() float64 { return float64(n.aliveMembers()) })
 	m.set.NewGauge("celerybank_orders_position", func() float64 { return float64(n.replica.View().Next) })
 	m.set.NewGauge("celerybank_orders_era", func() float64 { return float64(n.replica.View().Era) })
+	m.set.NewGauge("celerybank_workspaces", func() float64 { return float64(n.workspaceCount()) })
+	m.set.NewGauge("celerybank_orders_confirmed_age_seconds", n.confirmationAge)
 	return m
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,6 +55,7 @@
 	metrics       *callMetrics
 	handoverInbox handoverInbox
 	process       processState
+	confirmation  confirmationState
 }
 
 // Limits of the node's memory and traffic.
@@ -91,9 +92,7 @@
 	n.hosts = platform.NewHosts(n.store)
 	n.replica = orders.NewReplica(operator, ev)
 	n.follower = orders.NewFollower(n.replica, operator, n.pool.Repeating(), n.members, ev)
-	if s.Bounds.FailClosed {
-		n.follower.KeepConfirmed(s.Bounds.RevokeWithin)
-	}
+	n.setConfirmationLimit()
 	n.balancer = balance.New(s.Zone)
 	n.members.Subscribe(n.balancer.Update)
 	n.members.SubscribeFacts(func(f gossip.Fact) { n.handoverInbox.observe(s.Peers, f) })
@@ -123,17 +122,6 @@
 
 func (n *Node) table() *routes.Table { return n.replica.View().Table }
 
-// hasWorkspaces reports whether the configuration in force has workspaces.
-func (n *Node) hasWorkspaces() bool {
-	t := n.table()
-	return t != nil && t.HasWorkspaces()
-}
-
-// keysConfirmed reports whether requests may be served by the keys of the configuration in force.
-func (n *Node) keysConfirmed() bool {
-	return !n.settings.Bounds.FailClosed || n.follower.ConfirmedWithin(n.settings.Bounds.RevokeWithin)
-}
-
 func (n *Node) limits() routes.Limits {
 	if t := n.table(); t != nil {
 		return t.Limits
