soak: keys, revocations and workspaces

Cause: nothing checked keys of the real programs under faults.

Callers use valid, removed, unknown, missing and repeated keys, and forge the workspace.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -43,6 +43,7 @@
 	// prefixes maps the path prefixes of routes to whether their requests are safe.
 	prefixes map[string]bool
 	ids      *atomic.Int64
+	keys     *keyRing // nil in runs without workspaces
 
 	mu   sync.Mutex
 	idle []*callerConn
@@ -104,7 +105,7 @@
 			}
 			return
 		}
-		c.checker.ResponseReceived(id, Response{Status: resp.Status, NotRun: resp.GuaranteesNotRun(), Intact: resp.ID == id && resp.Signed && string(resp.Body) == string(responseBody(id))})
+		c.checker.ResponseReceived(id, Response{Status: resp.Status, NotRun: resp.GuaranteesNotRun() || resp.Status == http.StatusUnauthorized, Intact: resp.ID == id && resp.Signed && string(resp.Body) == string(responseBody(id))})
 		if closing && i < n-1 {
 			_ = conn.Close() // the node does not read requests pipelined after this one
 			return
@@ -127,6 +128,7 @@
 	}
 	counterpart.WriteRequest(req, method, authority, prefix+id, id, requestTimeout, body)
 	c.checker.RequestSent(id, c.host.name, prefix, c.prefixes[prefix])
+	c.authorize(req, id, prefix)
 	_ = conn.SetDeadline(time.Now().Add(requestTimeout + readSlack))
 	w := bufio.NewWriter(conn)
 	return req.Write(w) == nil && w.Flush() == nil
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -76,6 +77,7 @@
 	malformed    int // runs whose response was malformed
 	refused      bool
 	served       bool
+	keys         *keyUse
 }
 
 // disruption is the period in which one host is disrupted, or all hosts if host is empty.
@@ -124,12 +126,14 @@
 	lost         []string
 	noSlot       int
 	outagesEnded []time.Time // ends of total outages
+	keys         map[string]*key
+	failClosed   bool
 }
 
 // NewChecker returns a checker of a run that starts now.
 func NewChecker() *Checker {
 	return &Checker{start: time.Now(), requests: map[string]*request{}, drained: map[string]time.Time{}, cold: map[string]*coldUpstream{},
-		zones: map[string]*zoneOut{}}
+		zones: map[string]*zoneOut{}, keys: map[string]*key{}}
 }
 
 func (c *Checker) violated(i Invariant, at time.Time, format string, args ...any) {
@@ -144,7 +148,12 @@
 }
 
 // Execution is a request that an upstream begins to run.
-type Execution struct{ RequestID, Instance, Host, Service, Zone, Version string }
+type Execution struct {
+	RequestID, Instance, Host, Service, Zone, Version string
+	// Workspaces are the values of the workspace's header, Keys the number of fields with a key.
+	Workspaces []string
+	Keys       int
+}
 
 // ExecutionStarted records that an upstream begins to run a request.
 func (c *Checker) ExecutionStarted(e Execution) {
@@ -169,6 +178,7 @@
 	c.checkZone(e, now)
 	c.checkVersion(e, now)
 	c.checkConfig(q, e, now)
+	c.checkKey(q, e, now)
 	if u := c.cold[e.Instance]; u != nil && now.Before(u.until) {
 		c.checkCold(u, e, now)
 	}
@@ -243,6 +253,9 @@
 		return
 	}
 	q.served = r.Status/100 == 2
+	if r.Status == http.StatusUnauthorized {
+		c.checkUnauthorized(id, q, time.Now())
+	}
 	if q.served && q.malformed > 0 && q.malformed == q.runs {
 		c.violated(CompleteResponses, time.Now(), "%s got status %d although all responses of upstreams were malformed", id, r.Status)
 	}
--- a/internal/soak/host.go
+++ b/internal/soak/host.go
@@ -46,8 +46,9 @@
 
 func (h *host) addr(port int) string { return h.ip + ":" + strconv.Itoa(port) }
 
-// prepare opens the proxies and writes the settings file. store is the address of the store.
-func (h *host) prepare(store string) error {
+// prepare opens the proxies and writes the settings file. store is the address of the store; with failClosed the node refuses
+// requests that need a key while its configuration is not confirmed.
+func (h *host) prepare(store string, failClosed bool) error {
 	type spec struct {
 		dst    **proxy
 		port   int
@@ -65,7 +66,7 @@
 		}
 		*s.dst = p
 	}
-	settings := counterpart.Settings{Name: h.name, IP: h.ip, Zone: h.zone, Service: h.service, Upstream: h.addr(upstreamProxyPort), Store: h.addr(storeProxyPort)}
+	settings := counterpart.Settings{Name: h.name, IP: h.ip, Zone: h.zone, Service: h.service, Upstream: h.addr(upstreamProxyPort), Store: h.addr(storeProxyPort), Bounds: []string{"fail_closed=" + strconv.FormatBool(failClosed)}}
 	return os.WriteFile(h.settingsFile(), settings.File(), 0o600)
 }
 
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -95,12 +95,10 @@
 func (r *runner) publishConfig(ctx context.Context) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.version += versionStep
-	var list []counterpart.Route
 	routes := map[string]string{}
 	changed := false
 	for p, service := range r.routes {
-		if !changed && r.version > versionStep {
+		if !changed && r.version > 0 {
 			changed = true
 			if service == services[0] {
 				service = services[1]
@@ -109,12 +107,23 @@
 			}
 		}
 		routes[p] = service
-		list = append(list, counterpart.Route{Prefix: p, Service: service, Safe: prefixes[p]})
 	}
 	r.routes = routes
-	acked := r.checker.ConfigSent(routes)
-	if r.appendRecord(ctx, counterpart.Config(r.version, authority, list, services, coldRate)) {
+	r.publish(ctx, routes)
+}
+
+// publish publishes a configuration with these services by prefix and the current keys. r.mu is held.
+func (r *runner) publish(ctx context.Context, routes map[string]string) {
+	r.version += versionStep
+	var list []counterpart.Route
+	for p, service := range routes {
+		list = append(list, counterpart.Route{Prefix: p, Service: service, Safe: prefixes[p], Public: p == publicPrefix})
+	}
+	workspaces := r.keys.list()
+	acked, keysAcked := r.checker.ConfigSent(routes), r.checker.WorkspacesSent(workspaces)
+	if r.appendRecord(ctx, counterpart.WorkspaceConfig(r.version, authority, list, services, coldRate, workspaces)) {
 		acked()
+		keysAcked()
 	}
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -92,6 +92,8 @@
 	// rollouts counts the rollouts; one runs at a time.
 	rollouts       int
 	rolloutRunning bool
+	// keys is nil in runs without workspaces.
+	keys *keyRing
 }
 
 // prefixes maps the path prefixes of the routes to whether their requests are safe.
@@ -101,6 +103,12 @@
 func Run(ctx context.Context, c Config) (Result, error) {
 	r := &runner{Config: c, checker: NewChecker(), routes: map[string]string{}, zonesOut: map[int]bool{},
 		written: writtenRecords{sinceCopy: map[string][]byte{}}}
+	if hasWorkspaces(c.Seed) {
+		r.keys = newKeyRing()
+	}
+	if failsClosed(c.Seed) {
+		r.checker.FailClosed()
+	}
 	defer r.close()
 	if err := r.start(ctx); err != nil {
 		return Result{}, err
@@ -110,9 +118,12 @@
 	defer stop()
 	var ids atomic.Int64
 	for _, h := range r.hosts {
-		x := &callers{host: h, checker: r.checker, rate: c.Rate, prefixes: prefixes, ids: &ids}
+		x := &callers{host: h, checker: r.checker, rate: c.Rate, prefixes: prefixes, ids: &ids, keys: r.keys}
 		r.callers.Go(func() { x.run(ctx) })
 	}
+	if r.keys != nil {
+		r.callers.Go(func() { r.rotateKeys(ctx) })
+	}
 	start := time.Now()
 	var faults conc.WaitGroup
 	for _, f := range plan {
@@ -125,6 +136,7 @@
 	<-ctx.Done()
 	faults.Wait()
 	r.callers.Wait()
+	r.checkLogs()
 	violations, counts := r.checker.Finish()
 	return Result{violations, counts}, nil
 }
@@ -181,7 +193,7 @@
 
 // boot starts the node and the upstream of a host.
 func (h *host) boot(ctx context.Context, r *runner, cold bool) (err error) {
-	if err := h.prepare(r.storeAddr); err != nil {
+	if err := h.prepare(r.storeAddr, failsClosed(r.Seed)); err != nil {
 		return err
 	}
 	if err := h.start(); err != nil {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -131,7 +131,8 @@
 
 // execute runs a request and returns the status of its response, or 0 if the node has closed the connection.
 func (u *upstream) execute(r *http.Request, req counterpart.ReceivedRequest) int {
-	u.checker.ExecutionStarted(Execution{RequestID: req.ID, Instance: u.instance, Host: u.host.name, Service: u.host.service, Zone: u.host.zone, Version: u.version})
+	u.checker.ExecutionStarted(Execution{RequestID: req.ID, Instance: u.instance, Host: u.host.name, Service: u.host.service, Zone: u.host.zone, Version: u.version,
+		Workspaces: req.Workspaces, Keys: keysIn(r.Header)})
 	work := time.NewTimer(minWork + rand.N(workJitter))
 	defer work.Stop()
 	select {
