sidecar, orders: a node asks for confirmations from its start; test of fail_closed over real connections

Cause: a node that fails closed asked for a confirmation only once it had a configuration with workspaces, so that it refused until its second exchange.

Change: with fail_closed every pull asks for it. TestNodesWithoutTheStoreFailClosed.

--- a/internal/orders/exchange.go
+++ b/internal/orders/exchange.go
@@ -167,7 +167,7 @@
 func (f *Follower) pull(ctx context.Context, addr string) bool {
 	var reply PullReply
 	view, start := f.replica.View(), time.Now()
-	request := &PullRequest{Era: view.Era, Next: view.Next, Digest: f.replica.Digest(), Age: f.readerAge(), Confirm: f.keepsConfirmed()}
+	request := &PullRequest{Era: view.Era, Next: view.Next, Digest: f.replica.Digest(), Age: f.readerAge(), Confirm: f.confirmWithin > 0}
 	err := f.call(ctx, addr, "Pull", request, &reply)
 	if ctx.Err() != nil {
 		return false
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -132,6 +132,8 @@
 	log   *configlog.Memory
 	store string
 	hosts []*host
+	// bounds are the bounds in the settings of all nodes.
+	bounds []string
 	// started has all hosts, those added later too.
 	started []*host
 }
@@ -148,13 +150,16 @@
 	t.Fatalf("condition not met in time: %s", what)
 }
 
-func startMesh(t testing.TB, zones ...string) *mesh {
+func startMesh(t testing.TB, zones ...string) *mesh { return startBoundedMesh(t, nil, zones...) }
+
+// startBoundedMesh is startMesh with bounds in the settings.
+func startBoundedMesh(t testing.TB, bounds []string, zones ...string) *mesh {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	m := &mesh{t: t, log: configlog.NewMemory(), store: l.Addr().String()}
+	m := &mesh{t: t, bounds: bounds, log: configlog.NewMemory(), store: l.Addr().String()}
 	done := make(chan error, 1)
 	go func() { done <- standin.Serve(ctx, l, m.log) }()
 	t.Cleanup(func() { stop(); <-done })
@@ -200,7 +205,8 @@
 
 // startNode starts the node on a host whose upstream already runs.
 func (m *mesh) startNode(h *host) {
-	s, err := platform.ParseSettings(counterpart.Settings{Name: "n-" + h.ip, IP: h.ip, Zone: h.zone, Service: "stock", Upstream: h.addr(counterpart.UpstreamPort), Store: m.store}.File())
+	s, err := platform.ParseSettings(counterpart.Settings{Name: "n-" + h.ip, IP: h.ip, Zone: h.zone, Service: "stock", Upstream: h.addr(counterpart.UpstreamPort), Store: m.store,
+		Bounds: m.bounds}.File())
 	if err != nil {
 		m.t.Fatal(err)
 	}
--- a/internal/sidecar/workspaces_test.go
+++ b/internal/sidecar/workspaces_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"celerybank/internal/configlog"
 	"celerybank/platform/counterpart"
 )
 
@@ -137,3 +138,33 @@
 		t.Errorf("without workspaces: the upstream got %d keys and the workspaces %v, want 2 and the caller's", r.Keys, r.Workspaces)
 	}
 }
+
+// With fail_closed, nodes refuse requests that need a key while nothing confirms their configuration, and no others.
+func TestNodesWithoutTheStoreFailClosed(t *testing.T) {
+	m := startBoundedMesh(t, []string{"fail_closed=true", "revoke_s=2"}, "a", "b")
+	m.workspaces(1, "k1")
+	status := func(h *host, path string, header ...string) int {
+		c := h.dial(t)
+		defer func() { _ = c.Close() }()
+		c.send(path, "r1", header...)
+		return c.receive().StatusCode
+	}
+	for _, h := range m.hosts {
+		eventually(t, "the announcement is acknowledged", func() bool { return h.announce(false) })
+		eventually(t, "a key is accepted", func() bool { return status(h, "/one/x", "X-Api-Key: k1") == 200 })
+	}
+	m.log.SetFaults(configlog.Faults{Outage: true})
+	for _, h := range m.hosts {
+		eventually(t, "a key is refused without the store", func() bool { return status(h, "/one/x", "X-Api-Key: k1") == 503 })
+		if s := status(h, "/one/x", "X-Api-Key: k2"); s != 503 {
+			t.Errorf("unknown key without the store: got status %d, want 503", s)
+		}
+		if s := status(h, "/open/x"); s != 200 {
+			t.Errorf("public route without the store: got status %d, want 200", s)
+		}
+	}
+	m.log.SetFaults(configlog.Faults{})
+	for _, h := range m.hosts {
+		eventually(t, "a key is accepted again", func() bool { return status(h, "/one/x", "X-Api-Key: k1") == 200 })
+	}
+}
