--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -21,7 +21,7 @@
 
 // Catalogue has the definition of every event. Each subsystem defines its events in a file of its own.
 var Catalogue = merge(processEvents, configEvents, membershipEvents, peerEvents, callEvents,
-	claimEvents, rolloutEvents, zoneEvents, sidecarEvents)
+	claimEvents, rolloutEvents, zoneEvents, sidecarEvents, usageEvents)
 
 func merge(groups ...map[Code]Definition) map[Code]Definition {
 	all := map[Code]Definition{}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -27,11 +27,14 @@
 type RecordStore interface {
 	// Read returns the record, empty if there is none, and the position that Write expects.
 	Read(ctx context.Context) (record []byte, end orders.Position, err error)
-	// Write replaces the record and returns the new position. It fails if anything was written after position at, or in a later
-	// era. After an error the record may have been written.
+	// Write replaces the record and returns the new position. It fails with ErrConflict if anything was written after position at, or
+	// in a later era. After another error the record may have been written.
 	Write(ctx context.Context, record []byte, at orders.Position) (end orders.Position, err error)
 }
 
+// ErrConflict means that the record is not the one that the writer knows.
+var ErrConflict = errors.New("the record has changed")
+
 // ErrAnswered wraps the error of a call that the API answered, but did not accept.
 var ErrAnswered = errors.New("the API did not accept the report")
 
