Usage report in the sidecar: counting at the owner, RPC service, duty, hand-over

Change: the owner counts a request of a workspace when it is about to be written to the upstream, and takes the count back if the upstream has not run it; proxy.Request has the field Workspace; the node registers the service Usage, runs the collector and the reporter, gives the duty up at the start of a drain and hands its counts over when it leaves. Without the duty in the settings none of this exists. Metrics celerybank_usage_*; celerybank_usage_duty names the holder.

--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -89,6 +89,8 @@
 	ResponseMemory *membudget.Budget
 	// MeanProcessingTime returns the mean processing time on a route of a service, 0 when unknown.
 	MeanProcessingTime func(service, route string) time.Duration
+	// Usage counts the requests that the upstream begins to run; nil if they are not counted.
+	Usage UsageCounter
 }
 
 // Owner handles requests for the upstream on this host.
@@ -167,7 +169,7 @@
 // newClient returns a client for the upstream; onRestart may be nil.
 func (o *Owner) newClient(a registry.Announcement, onRestart func()) *upstream.Client {
 	return upstream.NewClient(a.Address, o.Dialer, o.connections(a.Service), maxResponseBytes, onRestart).
-		SetDialect(o.Wire.Dialect()).SetBeforeSend(o.Gate.WaitToSend).SetResponseMemory(o.ResponseMemory)
+		SetDialect(o.Wire.Dialect()).SetBeforeSend(o.beforeSend).SetResponseMemory(o.ResponseMemory)
 }
 
 // Refresh applies a changed configuration.
@@ -306,16 +308,18 @@
 	if !req.Idempotent {
 		ctx = upstream.WithFreshConn(ctx)
 	}
+	ctx, run := o.countRun(ctx, req)
 	start := time.Now()
 	v, err := up.client.Do(ctx, hr, resp)
 	took := time.Since(start)
 	if err != nil {
-		return o.handleError(ctx, up, req, v, err, took)
+		return o.handleError(ctx, up, req, run.settle(v), err, took)
 	}
 	notices := o.Wire.Notices(resp)
 	o.observeNotices(up, notices, start)
 	res, corrupt := o.Wire.Response(resp, req, v)
 	res.ProcessingTime = took
+	run.settle(res.Verdict)
 	if corrupt {
 		o.Events.Emit(events.CallFailed, events.Fields{"request": req.RequestID, "instance": up.Instance, "reason": proxy.ReasonInvalidResponse, "status": res.Status})
 		res = proxy.Refusal(verdict.MayHaveRun, proxy.ReasonInvalidResponse)
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -61,6 +61,8 @@
 	WaitToDeadline bool          `msgpack:"x"`
 	// RateLimit is what the entry node has heard of the limit that the upstream names.
 	RateLimit ratelimit.Hint `msgpack:"l"`
+	// Workspace is the name of the workspace whose key the request carried; empty if it has none.
+	Workspace string `msgpack:"y"`
 }
 
 // Reason says why a request was refused or failed.
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -36,6 +36,11 @@
 	m.set.NewGauge("celerybank_members", func() float64 { return float64(n.aliveMembers()) })
 	m.set.NewGauge("celerybank_orders_position", func() float64 { return float64(n.replica.View().Next) })
 	m.set.NewGauge("celerybank_orders_era", func() float64 { return float64(n.replica.View().Era) })
+	if n.usage != nil {
+		for name, value := range n.usage.reporter.Metrics() {
+			m.set.NewGauge(name, value)
+		}
+	}
 	return m
 }
 
@@ -58,6 +63,7 @@
 	metrics.WriteProcessMetrics(&b)
 	m.set.WritePrometheus(&b)
 	m.node.members.WriteMetrics(&b)
+	m.node.usage.writeMetrics(&b)
 	c.SetContentType("text/plain")
 	c.SetBody(b.Bytes())
 }
--- a/internal/sidecar/process.go
+++ b/internal/sidecar/process.go
@@ -83,6 +83,7 @@
 // whether it was.
 func (n *Node) checkSuspension(now time.Time) bool {
 	suspended := n.process.suspension.observe(now, bootTime())
+	n.usage.resync()
 	if suspended <= suspendThreshold {
 		return false
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,6 +55,7 @@
 	metrics       *callMetrics
 	handoverInbox handoverInbox
 	process       processState
+	usage         *usageDuty
 }
 
 // Limits of the node's memory and traffic.
@@ -95,12 +96,14 @@
 	n.members.Subscribe(n.balancer.Update)
 	n.members.SubscribeFacts(func(f gossip.Fact) { n.handoverInbox.observe(s.Peers, f) })
 	n.crashes = crash.New(n.members, ev)
+	n.usage = newUsageDuty(n)
 	n.gate = delivery.NewGate()
 	n.rollouts = canary.New(canary.Config{Addr: s.Peers, Members: n.members, Peers: n.pool, View: n.replica.View, Outcomes: platform.NewStatuses(n.store), Events: ev,
 		Running: n.gate.Running, Bound: canary.Bound{Share: s.Bounds.CanaryShare, Slack: s.Bounds.CanarySlack}})
 	n.owner = delivery.New(ctx, delivery.Config{Gate: n.gate, Dialer: network, Wire: platform.Wire{}, Table: n.table, RefusalReason: n.refusalReason,
 		Crashes: n.crashes, Observer: n.rollouts, Leaving: n.upstreamLeaves, Events: ev, Cold: delivery.ColdBound{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 		MeanProcessingTime: n.balancer.MeanProcessingTime,
+		Usage:              n.usage.counterOrNil(),
 		ResponseMemory:     membudget.New(int64(responseMemoryFraction * float64(s.MemoryBytes)))})
 	n.departures = departure.New(s.Peers, n.members, ev)
 	n.registry = registry.New(s.Service, s.Upstream, s.AnnounceInterval, n.departures, ev, n.upstreamChanged)
@@ -196,8 +199,10 @@
 	defer cancelRun()
 	gossipService := gossip.NewService(n.members)
 	n.server.OnNotify(gossip.PushMethod, gossipService.Pushed)
-	for name, service := range map[string]any{"Gossip": gossipService, "Orders": orders.NewService(n.follower),
-		"Proxy": proxy.NewService(runCtx, n.owner, n.server.Process()), "Canary": canary.NewService(n.rollouts)} {
+	services := map[string]any{"Gossip": gossipService, "Orders": orders.NewService(n.follower),
+		"Proxy": proxy.NewService(runCtx, n.owner, n.server.Process()), "Canary": canary.NewService(n.rollouts)}
+	n.usage.services(services)
+	for name, service := range services {
 		if err := n.server.Register(name, service); err != nil {
 			return err
 		}
@@ -217,7 +222,7 @@
 	}
 	wg.Go(func() { _ = n.ingress.Serve(callers) })
 	for _, task := range []func(context.Context) error{func(ctx context.Context) error { return n.server.Serve(ctx, peers) },
-		n.members.Run, n.follower.Run, hostDiscovery.Run, hostDiscovery.rewriteLost, n.acceptHandover, n.inheritDepartures, n.checkHeld, n.probeZones, n.rollouts.Run, n.housekeeping} {
+		n.members.Run, n.follower.Run, hostDiscovery.Run, hostDiscovery.rewriteLost, n.acceptHandover, n.inheritDepartures, n.checkHeld, n.probeZones, n.rollouts.Run, n.housekeeping, n.usage.Run} {
 		wg.Go(func() {
 			if err := task(runCtx); err != nil {
 				n.events.Emit(events.TaskFailed, events.Fields{"reason": err.Error()})
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -131,7 +131,9 @@
 	t     testing.TB
 	log   *configlog.Memory
 	store string
-	hosts []*host
+	// usageAPI is the address of the API for usage reports; empty if the nodes do not report.
+	usageAPI string
+	hosts    []*host
 	// started has all hosts, those added later too.
 	started []*host
 }
@@ -148,13 +150,16 @@
 	t.Fatalf("condition not met in time: %s", what)
 }
 
-func startMesh(t testing.TB, zones ...string) *mesh {
+func startMesh(t testing.TB, zones ...string) *mesh { return startReportingMesh(t, "", zones...) }
+
+// startReportingMesh starts a mesh whose nodes report the usage to the API at an address, if that is not empty.
+func startReportingMesh(t testing.TB, usageAPI string, zones ...string) *mesh {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	m := &mesh{t: t, log: configlog.NewMemory(), store: l.Addr().String()}
+	m := &mesh{t: t, log: configlog.NewMemory(), store: l.Addr().String(), usageAPI: usageAPI}
 	done := make(chan error, 1)
 	go func() { done <- standin.Serve(ctx, l, m.log) }()
 	t.Cleanup(func() { stop(); <-done })
@@ -200,7 +205,8 @@
 
 // startNode starts the node on a host whose upstream already runs.
 func (m *mesh) startNode(h *host) {
-	s, err := platform.ParseSettings(counterpart.Settings{Name: "n-" + h.ip, IP: h.ip, Zone: h.zone, Service: "stock", Upstream: h.addr(counterpart.UpstreamPort), Store: m.store}.File())
+	s, err := platform.ParseSettings(counterpart.Settings{Name: "n-" + h.ip, IP: h.ip, Zone: h.zone, Service: "stock", Upstream: h.addr(counterpart.UpstreamPort), Store: m.store,
+		UsageAPI: m.usageAPI, Bounds: []string{"report_window_s=1", "lease_s=1"}}.File())
 	if err != nil {
 		m.t.Fatal(err)
 	}
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"celerybank/internal/events"
 	"celerybank/internal/gossip"
 )
@@ -55,6 +57,9 @@
 func (n *Node) drain() {
 	n.events.Emit(events.Draining, events.Fields{"inflight": n.ingress.Inflight(), "running": n.gate.Running()})
 	n.process.draining.Store(true)
+	var usageStopped conc.WaitGroup
+	usageStopped.Go(n.usage.stop)
+	defer usageStopped.Wait()
 	gracefulStop{
 		drainOwner: func() { n.members.Update(func(m *gossip.Member) { m.Draining = true }) },
 		refuseNew:  func() { n.ingress.Drain(); n.owner.Drain() },
@@ -62,6 +67,9 @@
 	}.run(drainLimit(n.settings.Bounds.Grace))
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
+	var counts conc.WaitGroup
+	counts.Go(func() { n.usage.handOver(ctx) })
 	n.members.Leave(ctx, n.handOver()...)
+	counts.Wait()
 	n.events.Emit(events.Stopped, events.Fields{"cut": n.ingress.Inflight() + int64(n.gate.Running())})
 }
