--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -38,6 +38,11 @@
 	m.set.NewGauge("celerybank_orders_era", func() float64 { return float64(n.replica.View().Era) })
 	m.set.NewGauge("celerybank_workspaces", func() float64 { return float64(n.workspaceCount()) })
 	m.set.NewGauge("celerybank_orders_confirmed_age_seconds", n.confirmationAge)
+	if n.usage != nil {
+		for name, value := range n.usage.reporter.Metrics() {
+			m.set.NewGauge(name, value)
+		}
+	}
 	return m
 }
 
@@ -60,6 +65,7 @@
 	metrics.WriteProcessMetrics(&b)
 	m.set.WritePrometheus(&b)
 	m.node.members.WriteMetrics(&b)
+	m.node.usage.writeMetrics(&b)
 	c.SetContentType("text/plain")
 	c.SetBody(b.Bytes())
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -134,6 +134,8 @@
 	hosts []*host
 	// bounds are the bounds in the settings of all nodes.
 	bounds []string
+	// usageAPI is the address of the API for usage reports; empty if the nodes do not report.
+	usageAPI string
 	// started has all hosts, those added later too.
 	started []*host
 }
@@ -150,16 +152,28 @@
 	t.Fatalf("condition not met in time: %s", what)
 }
 
-func startMesh(t testing.TB, zones ...string) *mesh { return startBoundedMesh(t, nil, zones...) }
+// reportingBounds are the bounds of nodes that report the usage: short windows and leases.
+var reportingBounds = []string{"report_window_s=1", "lease_s=1"}
+
+func startMesh(t testing.TB, zones ...string) *mesh { return startMeshWith(t, "", nil, zones...) }
 
 // startBoundedMesh is startMesh with bounds in the settings.
 func startBoundedMesh(t testing.TB, bounds []string, zones ...string) *mesh {
+	return startMeshWith(t, "", bounds, zones...)
+}
+
+// startReportingMesh starts a mesh whose nodes report the usage to the API at an address.
+func startReportingMesh(t testing.TB, usageAPI string, zones ...string) *mesh {
+	return startMeshWith(t, usageAPI, reportingBounds, zones...)
+}
+
+func startMeshWith(t testing.TB, usageAPI string, bounds []string, zones ...string) *mesh {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	m := &mesh{t: t, bounds: bounds, log: configlog.NewMemory(), store: l.Addr().String()}
+	m := &mesh{t: t, bounds: bounds, usageAPI: usageAPI, log: configlog.NewMemory(), store: l.Addr().String()}
 	done := make(chan error, 1)
 	go func() { done <- standin.Serve(ctx, l, m.log) }()
 	t.Cleanup(func() { stop(); <-done })
@@ -206,7 +220,7 @@
 // startNode starts the node on a host whose upstream already runs.
 func (m *mesh) startNode(h *host) {
 	s, err := platform.ParseSettings(counterpart.Settings{Name: "n-" + h.ip, IP: h.ip, Zone: h.zone, Service: "stock", Upstream: h.addr(counterpart.UpstreamPort), Store: m.store,
-		Bounds: m.bounds}.File())
+		UsageAPI: m.usageAPI, Bounds: m.bounds}.File())
 	if err != nil {
 		m.t.Fatal(err)
 	}
