delivery: cut a standing queue by the demand, not by its age

Cause: the queue of an overloaded upstream was cut to two requests a slot once it had not been empty for longer than the caller's time. Every admitted caller then waited for about two run times, and each retry met the same full queue.

Change: a virtual queue counts the work of all requests that would wait here, refused ones included, less what the upstream can process meanwhile (its slots, or the pace of a cold or limited upstream). While that demand exceeds half of the caller's time or 12 mean run times, at most half a request a slot may wait. A burst below that is absorbed as before. Retries keep the demand up and the queue short, not the queue full. Retry-After is spread over the time in which the demand is processed, so that refused callers come back after the burst instead of into it.

Two tests of the cold limit repeated a refused request without a pause. A caller with a minute of time may be refused by demand now, and virtual time does not pass in such a loop; they pause for 10 ms. Their bounds are unchanged.

--- a/internal/delivery/gate.go
+++ b/internal/delivery/gate.go
@@ -53,9 +53,8 @@
 	// progress is when a request last got or returned a slot.
 	progress time.Time
 	queue    []*queuedRequest // in the order of their turns
-	// standingSince is when the queue was last empty.
-	standingSince time.Time
-	work          workEstimates
+	demand   demand
+	work     workEstimates
 	// admission spaces admissions, in the order of ranks. sending spaces the sends that follow, as
 	// a host may stall after several admissions and then send them all at once.
 	admission, sending pacing
@@ -135,6 +134,7 @@
 	}
 	if len(g.queue) == 0 && g.running < g.capacity() && g.admission.admit(now) {
 		g.start(r.Route, now)
+		g.countDemand(r, now)
 		g.mu.Unlock()
 		return Refusal{}, true
 	}
@@ -174,7 +174,7 @@
 // wait, at least the time in which one slot is released, so that callers that retry do not arrive at once.
 func (g *Gate) retryAfter(wait time.Duration) time.Duration {
 	wait = max(wait, g.work.all.mean/time.Duration(max(g.capacity(), 1)), 1)
-	return wait + rand.N(wait)
+	return wait + rand.N(max(wait, g.demandWait(time.Now())))
 }
 
 // RetryAfter returns when a caller that comes after those in the queue may expect room.
--- a/internal/delivery/gate_test.go
+++ b/internal/delivery/gate_test.go
@@ -183,6 +183,7 @@
 				callers.Go(func() {
 					for ctx.Err() == nil {
 						if _, ok := g.Acquire(ctx, slotRequest(0, time.Minute)); !ok {
+							time.Sleep(impatientPause)
 							continue
 						}
 						maybeStall()
@@ -291,6 +292,7 @@
 			callers.Go(func() {
 				for ctx.Err() == nil {
 					if _, ok := g.Acquire(ctx, slotRequest(0, time.Minute)); !ok {
+						time.Sleep(impatientPause)
 						continue
 					}
 					mu.Lock()
--- a/internal/delivery/overload_test.go
+++ b/internal/delivery/overload_test.go
@@ -29,8 +29,13 @@
 	target         time.Duration
 	spread         float64
 	repeats        int
+	// impatient is the share of the callers that retry at once, as often as they can in their time.
+	impatient float64
 }
 
+// impatientPause is the time between the tries of an impatient caller.
+const impatientPause = 10 * time.Millisecond
+
 // simResult is what the callers of one route see.
 type simResult struct {
 	callers, served int
@@ -38,6 +43,8 @@
 	// as fractions of the time that the caller had left at the try.
 	responses []time.Duration
 	refusals  []float64
+	// waits are the times that admitted requests waited for their slots.
+	waits []time.Duration
 	// unfinished counts requests that started and were not finished at the deadline.
 	unfinished int
 }
@@ -57,11 +64,15 @@
 
 // quantile returns the q-quantile of the times to a response.
 func (r *simResult) quantile(q float64) time.Duration {
-	if len(r.responses) == 0 {
+	return quantile(r.responses, q)
+}
+
+func quantile(times []time.Duration, q float64) time.Duration {
+	if len(times) == 0 {
 		return 0
 	}
-	slices.Sort(r.responses)
-	return r.responses[int(q*float64(len(r.responses)-1))]
+	slices.Sort(times)
+	return times[int(q*float64(len(times)-1))]
 }
 
 // simulation plays callers against a gate in virtual time.
@@ -112,16 +123,26 @@
 	s.mu.Lock()
 	res.callers++
 	s.mu.Unlock()
-	for range r.repeats + 1 {
+	s.mu.Lock()
+	impatient := r.impatient > 0 && s.rand.Float64() < r.impatient
+	s.mu.Unlock()
+	for n := 0; n <= r.repeats || impatient && ctx.Err() == nil; n++ {
 		try, left := time.Now(), time.Until(first.Add(r.deadline))
 		refused, ok := s.gate.Acquire(ctx, simRequest(r, first))
 		if ok {
+			s.mu.Lock()
+			res.waits = append(res.waits, time.Since(try))
+			s.mu.Unlock()
 			s.process(ctx, r, first)
 			return
 		}
 		s.mu.Lock()
 		res.refusals = append(res.refusals, float64(time.Since(try))/float64(left))
 		s.mu.Unlock()
+		if impatient {
+			time.Sleep(impatientPause)
+			continue
+		}
 		time.Sleep(min(refused.RetryAfter, time.Until(first.Add(r.deadline))/3))
 	}
 }
--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -24,6 +24,8 @@
 	free, ahead int
 	// work is the processing time ahead for which no slot is free yet, stalled the expected duration of a stall.
 	work, stalled time.Duration
+	// standing is set when the demand exceeds what the caller can wait for.
+	standing bool
 }
 
 func (g *Gate) newBacklog(now time.Time) backlog {
@@ -67,16 +69,8 @@
 	return max(0, now.Sub(g.progress)-longest)
 }
 
-// standingPerSlot is the number of requests for each slot that may wait in a queue that does not empty. It keeps all
-// slots busy and absorbs the scatter of arrivals at a load just below the capacity of the upstream, and leaves room for
-// callers that have a few processing times only.
-const standingPerSlot = 2
-
 // enqueue queues a request by rank, then by arrival, or refuses it because it cannot be served.
 func (g *Gate) enqueue(r SlotRequest, now time.Time) (*queuedRequest, Refusal) {
-	if len(g.queue) == 0 {
-		g.standingSince = now
-	}
 	turn := len(g.queue)
 	for turn > 0 && r.Rank < g.queue[turn-1].Rank {
 		turn--
@@ -86,6 +80,9 @@
 		b.add(g.work.of(w.Route).mean)
 	}
 	wait := b.wait()
+	if r.WaitToDeadline || wait <= r.MaxWait { // others are better served elsewhere
+		b.standing = g.countDemand(r, now)
+	}
 	if reason := g.refusalReason(r, &b, wait); reason != proxy.ReasonNone {
 		return nil, Refusal{Reason: reason, RetryAfter: g.retryAfter(wait)}
 	}
@@ -107,9 +104,9 @@
 	switch {
 	case wait+g.work.of(r.Route).likely() > left:
 		return proxy.ReasonTooLate
-	case b.now.Sub(g.standingSince) > left && b.ahead >= standingPerSlot*b.capacity:
-		// The queue has not been empty for longer than this caller has time, so this is no burst that it can
-		// absorb. A longer queue would serve no more callers, only each of them later.
+	case b.standing && b.ahead >= shortQueue(b.capacity):
+		// More has arrived than this caller can wait for. A longer queue would serve no more callers, only each
+		// of them later.
 		return g.capacityReason(b.now)
 	case !r.WaitToDeadline && wait > r.MaxWait, len(g.queue) >= maxQueued:
 		return g.capacityReason(b.now)
