calltree: admit requests by what becomes of their children

Cause: nothing decided at the owner of a parent whether the service that it calls has capacity. With that service short by a tenth, a third of the runs ended for nothing, after their work.

Change: the owner of a called service keeps, for each rank of a root, the ratio of the work that arrives before its children to what its upstream gets through, and reports it with the response to a child (proxy.Response.Pressure). The owner of the parent keeps a rate of runs for each route (internal/calltree), changed by that pressure and by refused or late children, and refuses further runs before their work: verdict not-run, reason dependency-full, final for the entry node, with a Retry-After over the time in which the refused can be admitted. A run that waited for its slot since before the limit is decided anew. Children are never refused by it. Without news the rate grows again; a lost service is probed by one run a second a node.

Children carry the rank of their root within their own rank (proxy.ChildRank), not in new fields: a Request is an array on the wire, and the decoder rejects one with another number of elements, in both directions ("number of fields in array-encoded struct has changed"). Nodes of earlier versions order such children before all other requests, as their own.

--- /dev/null
+++ b/internal/delivery/children.go
@@ -0,0 +1,57 @@
+package delivery
+
+import (
+	"strings"
+	"time"
+
+	"celerybank/internal/calltree"
+	"celerybank/internal/proxy"
+	"celerybank/internal/verdict"
+)
+
+// ParentOf returns the route of the request that this host's upstream is running and for which it sends the request with
+// this ID, and the rank of the request that began their call tree.
+func (o *Owner) ParentOf(id string) (route string, rootRank int, ok bool) {
+	i := strings.LastIndexByte(id, '.')
+	if i <= 0 {
+		return "", 0, false
+	}
+	return o.running.origin(id[:i])
+}
+
+// RecordChild records what became of a child request of a run of the route.
+func (o *Owner) RecordChild(route string, c calltree.Child) { o.trees.Record(route, c, time.Now()) }
+
+// admitRun decides whether the children of a request that is no child itself can be served.
+func (o *Owner) admitRun(req *proxy.Request) calltree.Admission {
+	if _, child := proxy.RootRank(req.Rank); child {
+		return calltree.Admission{OK: true}
+	}
+	return o.trees.Admit(req.Route, time.Now())
+}
+
+// startRun decides anew once the request has a slot.
+func (o *Owner) startRun(req *proxy.Request, a calltree.Admission) calltree.Admission {
+	if _, child := proxy.RootRank(req.Rank); child {
+		return a
+	}
+	return o.trees.Start(req.Route, a, time.Now())
+}
+
+// rootPressure returns the pressure that the response to a child reports, in thousandths: that at this upstream, or at
+// the services that it calls itself for such requests. 0 means that it is not known.
+func (o *Owner) rootPressure(req *proxy.Request) int {
+	rootRank, child := proxy.RootRank(req.Rank)
+	if !child {
+		return 0
+	}
+	pressure := max(o.Gate.RootPressure(rootRank), o.trees.Pressure(req.Route, time.Now()))
+	return max(1, int(pressure*proxy.RatioScale))
+}
+
+// refuseRun returns the refusal of a request whose children would not be served.
+func refuseRun(a calltree.Admission) *proxy.Response {
+	res := proxy.Refusal(verdict.NotRun, proxy.ReasonDependencyFull)
+	res.RetryAfter = a.RetryAfter
+	return res
+}
--- a/internal/delivery/cold_test.go
+++ b/internal/delivery/cold_test.go
@@ -160,7 +160,10 @@
 	stop     func()
 }
 
-func newColdFixture(t *testing.T) *coldFixture {
+func newColdFixture(t *testing.T) *coldFixture { return newFixture(t, 40) }
+
+// newFixture returns a fixture with the given number of callers.
+func newFixture(t *testing.T, callers int) *coldFixture {
 	network := faultnet.New()
 	l, err := network.Host("10.0.0.1").Listen(upstreamAddr)
 	if err != nil {
@@ -182,9 +185,9 @@
 		o.SetUpstream(a, true)
 	}
 	f.announce(0)
-	var callers sync.WaitGroup
-	for range 40 {
-		callers.Go(func() {
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
 			for ctx.Err() == nil {
 				res := o.Handle(ctx, &proxy.Request{Service: "stock", Timeout: time.Second, Idempotent: true, WaitToDeadline: true})
 				if res.Verdict == verdict.NotRun {
@@ -195,7 +198,7 @@
 	}
 	f.stop = func() {
 		cancel()
-		callers.Wait()
+		running.Wait()
 		_ = l.Close()
 		u.turnCold(0, true)
 		time.Sleep(time.Second) // the upstream and checks in progress end
--- a/internal/delivery/gate.go
+++ b/internal/delivery/gate.go
@@ -16,7 +16,7 @@
 
 // SlotRequest describes a request that needs a slot.
 type SlotRequest struct {
-	// Rank orders queued requests; the lowest goes first.
+	// Rank orders queued requests; the lowest goes first. That of a child names the rank of its root (proxy.ChildRank).
 	Rank int
 	// Route is the name of the request's route, whose processing time is the work left.
 	Route string
@@ -54,6 +54,7 @@
 	progress time.Time
 	queue    []*queuedRequest // in the order of their turns
 	demand   demand
+	roots    rootDemand
 	work     workEstimates
 	// admission spaces admissions, in the order of ranks. sending spaces the sends that follow, as
 	// a host may stall after several admissions and then send them all at once.
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"celerybank/internal/calltree"
 	"celerybank/internal/crash"
 	"celerybank/internal/events"
 	"celerybank/internal/httpresponse"
@@ -95,6 +96,7 @@
 type Owner struct {
 	Config
 	running running
+	trees   calltree.Tree
 
 	// mu makes a change of the upstream and of the gate atomic.
 	mu             sync.Mutex
@@ -223,6 +225,7 @@
 	start := time.Now()
 	res := o.handle(ctx, req)
 	res.Load, res.OwnerTime = o.Gate.Load(), time.Since(start)
+	res.Pressure = o.rootPressure(req)
 	if up := o.up.Load(); up != nil {
 		up.quality.report(&res.Load, time.Now())
 	}
@@ -243,9 +246,14 @@
 	case o.Crashes.Active() && o.Crashes.Blocked(proxy.Fingerprint(req)):
 		return proxy.Refusal(verdict.NotRun, proxy.ReasonCrashing)
 	}
+	admission := o.admitRun(req)
+	if !admission.OK {
+		return refuseRun(admission)
+	}
 	now := time.Now()
 	slot := SlotRequest{Rank: req.Rank, Route: req.Route, Deadline: now.Add(req.Timeout), MaxWait: req.MaxWait, WaitToDeadline: req.WaitToDeadline, RateLimit: req.RateLimit}
 	if refused, ok := o.Gate.Acquire(ctx, slot); !ok {
+		o.trees.Withdraw(req.Route, admission)
 		res := proxy.Refusal(verdict.NotRun, refused.Reason)
 		res.RetryAfter = refused.RetryAfter
 		return res
@@ -259,10 +267,16 @@
 		o.Gate.Release(req.Route, 0)
 		return proxy.Refusal(verdict.NotRun, refusal)
 	}
+	if admission = o.startRun(req, admission); !admission.OK {
+		o.Gate.Release(req.Route, 0)
+		return refuseRun(admission)
+	}
 	o.running.add(req)
 	res := o.send(ctx, up, req)
 	o.running.remove(req)
-	o.Gate.Release(req.Route, processingTime(res))
+	took := processingTime(res)
+	o.Gate.Release(req.Route, took)
+	o.trees.Ended(req.Route, took)
 	o.setRetryAfter(res)
 	return res
 }
--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -104,7 +104,7 @@
 	switch {
 	case wait+g.work.of(r.Route).likely() > left:
 		return proxy.ReasonTooLate
-	case b.standing && b.ahead >= shortQueue(b.capacity):
+	case b.standing && b.ahead >= shortQueue(r, b.capacity):
 		// More has arrived than this caller can wait for. A longer queue would serve no more callers, only each
 		// of them later.
 		return g.capacityReason(b.now)
--- a/internal/delivery/running.go
+++ b/internal/delivery/running.go
@@ -16,6 +16,9 @@
 type runs struct {
 	count int
 	retry bool
+	// route is that of the request, rootRank the rank of the request that began its call tree.
+	route    string
+	rootRank int
 }
 
 func (r *running) add(req *proxy.Request) {
@@ -26,7 +29,8 @@
 	}
 	x := r.byID[req.RequestID]
 	if x == nil {
-		x = &runs{}
+		x = &runs{route: req.Route}
+		x.rootRank, _ = proxy.RootRank(req.Rank)
 		r.byID[req.RequestID] = x
 	}
 	x.count++
@@ -49,3 +53,14 @@
 	x := r.byID[id]
 	return x != nil, x != nil && x.retry
 }
+
+// origin returns the route of a running request, and the rank of the request that began its call tree.
+func (r *running) origin(id string) (route string, rootRank int, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.byID[id]
+	if x == nil {
+		return "", 0, false
+	}
+	return x.route, x.rootRank, true
+}
--- a/internal/delivery/standing.go
+++ b/internal/delivery/standing.go
@@ -21,6 +21,9 @@
 	// shortPerSlot is the number of requests for each slot that may wait while the demand exceeds what can be absorbed.
 	// They keep the slots busy.
 	shortPerSlot = 0.5
+	// childrenPerSlot is the same for child requests. The admission of their parents keeps their queue short; scatter
+	// beyond that is absorbed, as a refused child costs the work of its parent.
+	childrenPerSlot = 5.0
 )
 
 // drain subtracts what the upstream has processed up to now at speed, in processing time per time.
@@ -54,7 +57,9 @@
 	g.demand.drain(now, speed)
 	wait := min(absorbedFraction*float64(r.Deadline.Sub(now)), absorbedRuns*run)
 	standing = float64(g.demand.backlog) > speed*wait
-	g.demand.add(g.work.of(r.Route).mean, time.Duration(speed*(absorbedRuns+standingRuns)*run))
+	work, limit := g.work.of(r.Route).mean, time.Duration(speed*(absorbedRuns+standingRuns)*run)
+	g.demand.add(work, limit)
+	g.roots.add(r, work, now)
 	return standing
 }
 
@@ -68,5 +73,11 @@
 // minSpeed bounds the time named to refused callers while the upstream gets almost no requests.
 const minSpeed = 0.1
 
-// shortQueue returns how many requests may wait while the demand is beyond what can be absorbed.
-func shortQueue(capacity int) int { return int(shortPerSlot*float64(capacity)) + 1 }
+// shortQueue returns how many requests may wait ahead of a request while the demand is beyond what can be absorbed.
+func shortQueue(r SlotRequest, capacity int) int {
+	perSlot := shortPerSlot
+	if r.Rank < 0 {
+		perSlot = childrenPerSlot
+	}
+	return int(perSlot*float64(capacity)) + 1
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,6 +45,8 @@
 	Crashes  *crash.Registry
 	Canaries Canaries
 	Events   *events.Recorder
+	// Parents is told what becomes of child requests; nil for nobody.
+	Parents Parents
 	// ViewFresh reports whether this node's view of the other nodes is fresh enough to serve requests.
 	ViewFresh func() bool
 }
@@ -73,10 +75,6 @@
 	notReadyRetry = 500 * time.Millisecond
 )
 
-// childRank ranks child requests before all others: if one is refused, the work already done for its
-// parent is lost.
-const childRank = -1
-
 // Caller describes the connection that a request arrived on.
 type Caller struct {
 	// Timeout is how long the caller waits for the response, 0 when it sets no limit.
@@ -107,8 +105,9 @@
 		req.Rank, req.Hop.Retry = childRank, retry
 	}
 	d.Budget.Deposit(req.Service)
-	st := &requestState{route: route, req: req, view: view, pipelined: from.Pipelines}
+	st := &requestState{route: route, req: req, view: view, pipelined: from.Pipelines, parent: d.parentOf(req)}
 	res := d.sendUntilFinal(ctx, st)
+	d.recordChild(st, res)
 	d.report(st, res)
 	return res
 }
@@ -120,7 +119,9 @@
 	view  *orders.View
 	// pipelined is set when responses to other requests may have to wait for this one.
 	pipelined bool
-	tried     []*balance.Endpoint
+	// parent is set for a child request.
+	parent *parent
+	tried  []*balance.Endpoint
 	// reached counts the upstreams that the request may have arrived at.
 	reached int
 	// mayHaveRun is set once the request may have run at an upstream.
@@ -215,6 +216,7 @@
 func (d *Dispatcher) send(ctx context.Context, st *requestState, choice balance.Choice) *proxy.Response {
 	r, e := *st.req, choice.Endpoint
 	r.Version, r.Instance, r.Entry, r.ID = e.Version, e.Instance, d.Addr, d.nextID.Add(1)
+	r.Rank = st.ownerRank()
 	r.MaxWait, r.WaitToDeadline = choice.MaxWait, choice.Only
 	r.RateLimit = e.RateLimit(time.Now())
 	r.Hop.Retry = r.Hop.Retry || st.reached > 0
@@ -348,7 +350,8 @@
 // after which the request must not run elsewhere: it may crash other upstreams too.
 func final(r proxy.Reason) bool {
 	switch r {
-	case proxy.ReasonCancelled, proxy.ReasonCrashing, proxy.ReasonCrashed, proxy.ReasonResponseTooLarge, proxy.ReasonDeadline, proxy.ReasonBadRequest:
+	case proxy.ReasonCancelled, proxy.ReasonCrashing, proxy.ReasonCrashed, proxy.ReasonResponseTooLarge, proxy.ReasonDeadline, proxy.ReasonBadRequest,
+		proxy.ReasonDependencyFull:
 		return true
 	default:
 		return false
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,6 +15,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"celerybank/internal/balance"
+	"celerybank/internal/calltree"
 	"celerybank/internal/events"
 	"celerybank/internal/gossip"
 	"celerybank/internal/orders"
@@ -257,6 +258,45 @@
 	})
 }
 
+// parents is a stand-in of the owner for child requests of p1.
+type parents struct{ children []calltree.Child }
+
+func (p *parents) ParentOf(id string) (string, int, bool) { return "lookup", 2, id == "p1.x" }
+
+func (p *parents) RecordChild(route string, c calltree.Child) {
+	if route == "lookup" {
+		p.children = append(p.children, c)
+	}
+}
+
+// The owner of a parent must learn what became of its children, and their owners the rank of the root. A request whose
+// parent cannot be served anywhere must not be sent to further owners.
+func TestChildrenAreReportedToTheirParent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		loaded := func(*proxy.Request) (*proxy.Response, error) {
+			return &proxy.Response{Verdict: verdict.Ran, Status: 200, Load: proxy.Load{Limit: 8}, Pressure: 1200}, nil
+		}
+		f := &fakeOwners{responses: map[string]func(*proxy.Request) (*proxy.Response, error){"one": loaded, "two": loaded}, parents: map[string]bool{"p1": false}}
+		d, p := newDispatcher(f), &parents{}
+		d.Parents = p
+		d.Dispatch(t.Context(), request("p1.x"), "/get/1", Caller{})
+		if f.last.Rank != proxy.ChildRank(2) || len(p.children) != 1 || p.children[0].Failed || p.children[0].Pressure != 1.2 {
+			t.Errorf("got rank %d, reports %+v; want %d and a served child with pressure 1.2", f.last.Rank, p.children, proxy.ChildRank(2))
+		}
+		f.responses["one"], f.responses["two"] = refused(proxy.ReasonFull), refused(proxy.ReasonFull)
+		d.Dispatch(t.Context(), request("p1.x"), "/get/1", Caller{})
+		d.Dispatch(t.Context(), request("r1"), "/get/1", Caller{})
+		if len(p.children) != 2 || !p.children[1].Failed || f.last.Rank < 0 {
+			t.Errorf("got reports %+v, rank %d; want a second report of a refused child, and none of a request that is no child", p.children, f.last.Rank)
+		}
+		f.responses["one"], f.responses["two"] = refused(proxy.ReasonDependencyFull), refused(proxy.ReasonDependencyFull)
+		f.called = nil
+		if d.Dispatch(t.Context(), request("r1"), "/get/1", Caller{}); len(f.called) != 1 {
+			t.Errorf("%s: offered to %d owners, want 1", proxy.ReasonDependencyFull, len(f.called))
+		}
+	})
+}
+
 func TestDeadlineIsTheShorterOfCallerAndRoute(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeOwners{responses: map[string]func(*proxy.Request) (*proxy.Response, error){"one": ok}}
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -52,7 +52,8 @@
 	Host      string `msgpack:"a"`
 	RequestID string `msgpack:"q"`
 	Caller    string `msgpack:"c"`
-	// Rank orders queued requests: those with the lowest rank are admitted first.
+	// Rank orders queued requests: those with the lowest rank are admitted first. That of a child is below 0, and names
+	// the rank of its root (ChildRank).
 	Rank int `msgpack:"j"`
 	// MaxWait is the longest expected wait in the owner's queue for which no other upstream is a better choice;
 	// the owner refuses the request if it is longer. WaitToDeadline is set when there is no other choice: the
@@ -114,6 +115,8 @@
 	// ReasonInvalidResponse means that the upstream's response was malformed, unsigned or encoded, or belonged to another request.
 	ReasonInvalidResponse Reason = "answer-spoiled"
 	ReasonBadRequest      Reason = "bad-request"
+	// ReasonDependencyFull means that a service that the upstream calls for such requests has no capacity for more.
+	ReasonDependencyFull Reason = "dependency-full"
 )
 
 // ReasonHeader is the response header with the reason for a refusal or failure.
@@ -141,6 +144,9 @@
 	OwnerTime time.Duration `msgpack:"e,omitempty"`
 	// Leaving means that the upstream that the request names said in its response that it leaves.
 	Leaving bool `msgpack:"g,omitempty"`
+	// Pressure is reported to child requests: the ratio of the demand that goes before children of roots of this rank
+	// to what the upstream gets through, in thousandths; 0 when it is not known.
+	Pressure int `msgpack:"p,omitempty"`
 	// Recovered means that the owner told this over another connection after the first was lost. It is set
 	// by the entry node.
 	Recovered bool `msgpack:"-"`
--- a/internal/proxy/versions_test.go
+++ b/internal/proxy/versions_test.go
@@ -9,6 +9,21 @@
 	"celerybank/internal/verdict"
 )
 
+// A child's rank must name the rank of its root to nodes of this version, and be below 0 for those of earlier ones, which
+// give their own children the rank -1.
+func TestChildRankNamesTheRankOfTheRoot(t *testing.T) {
+	for _, c := range []struct{ root, want int }{{-5, 0}, {0, 0}, {1, 1}, {7, 7}, {998, 998}, {5000, 998}} {
+		if rank, child := RootRank(ChildRank(c.root)); rank != c.want || !child || ChildRank(c.root) >= -1 {
+			t.Errorf("root of rank %d: got child %v of rank %d by rank %d, want a child of rank %d by a rank below -1", c.root, child, rank, ChildRank(c.root), c.want)
+		}
+	}
+	for rank, wantChild := range map[int]bool{-1: true, 0: false, 3: false} {
+		if root, child := RootRank(rank); child != wantChild || root != max(rank, 0) {
+			t.Errorf("rank %d: got child %v of rank %d, want child %v of rank %d", rank, child, root, wantChild, max(rank, 0))
+		}
+	}
+}
+
 // Nodes of two versions respond to each other during an upgrade of the fleet. An unknown field must be
 // ignored, and a missing one must be zero.
 func TestResponsesOfOtherVersionsAreRead(t *testing.T) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -107,7 +107,7 @@
 	n.replica.Subscribe(n.ordersChanged)
 	n.budget = &dispatch.Budget{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow, Nodes: n.aliveMembers}
 	n.dispatch = dispatch.New(dispatch.Config{Addr: s.Peers, View: n.replica.View, Balancer: n.balancer, Owner: n.owner, Peers: n.pool,
-		Budget: n.budget, Crashes: n.crashes, Canaries: n.rollouts, Events: ev, ViewFresh: n.viewFresh})
+		Budget: n.budget, Crashes: n.crashes, Canaries: n.rollouts, Parents: n.owner, Events: ev, ViewFresh: n.viewFresh})
 	n.ingress = ingress.New(ingress.Config{Handler: n, Limits: n.limits, BodyBytes: maxBodyBytes,
 		TotalBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes))})
 	n.metrics = newCallMetrics(n)
