--- a/internal/delivery/standing.go
+++ b/internal/delivery/standing.go
@@ -23,7 +23,7 @@
 	shortPerSlot = 0.5
 	// childrenPerSlot is the same for child requests. The admission of their parents keeps their queue short; scatter
 	// beyond that is absorbed, as a refused child costs the work of its parent.
-	childrenPerSlot = 5.0
+	childrenPerSlot = 8.0
 )
 
 // drain subtracts what the upstream has processed up to now at speed, in processing time per time.
