--- a/internal/delivery/gate.go
+++ b/internal/delivery/gate.go
@@ -16,7 +16,7 @@
 
 // SlotRequest describes a request that needs a slot.
 type SlotRequest struct {
-	// Rank orders queued requests; the lowest goes first.
+	// Rank orders queued requests; the lowest goes first. That of a child names the rank of its root (proxy.ChildRank).
 	Rank int
 	// Workspace is the name of the workspace of the request; those of one rank have their turns in rounds.
 	Workspace string
@@ -58,9 +58,9 @@
 	queue    []*queuedRequest // in the order of their turns
 	rounds   rounds
 	arrivals uint64 // counts the queued requests
-	// standingSince is when the queue was last empty.
-	standingSince time.Time
-	work          workEstimates
+	demand   demand
+	roots    rootDemand
+	work     workEstimates
 	// admission spaces admissions, in the order of ranks. sending spaces the sends that follow, as
 	// a host may stall after several admissions and then send them all at once.
 	admission, sending pacing
@@ -140,6 +140,7 @@
 	}
 	if len(g.queue) == 0 && g.running < g.capacity() && g.admission.admit(now) {
 		g.start(r, now)
+		g.countDemand(r, now)
 		g.mu.Unlock()
 		return Refusal{}, true
 	}
@@ -180,7 +181,7 @@
 // wait, at least the time in which one slot is released, so that callers that retry do not arrive at once.
 func (g *Gate) retryAfter(wait time.Duration) time.Duration {
 	wait = max(wait, g.work.all.mean/time.Duration(max(g.capacity(), 1)), 1)
-	return wait + rand.N(wait)
+	return wait + rand.N(max(wait, g.demandWait(time.Now())))
 }
 
 // RetryAfter returns when a caller that comes after those in the queue may expect room.
