peer: metrics of the bytes written to other nodes

Each connection counts the frames that it writes, by RPC method, kind (request, reply, notification, heartbeat) and link (same zone, another zone), on the sidecar's metrics page.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -52,6 +52,8 @@
 	// onBytes observes each frame; n is its size in bytes with the length prefix.
 	onBytes func(method string, in bool, n int)
 	clock   *events.Clock
+	// meter counts the frames written; nil counts none.
+	meter *connMeter
 
 	// Used only by the reader: net/rpc reads a connection from one goroutine.
 	in     *bufio.Reader
@@ -96,6 +98,7 @@
 	c.wmu.Lock()
 	defer c.wmu.Unlock()
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	c.meter.sent(&h, len(buf.b)) // before the peer can react, so that its reply proves that the frame is counted
 	n, err := c.conn.Write(buf.b)
 	if err != nil {
 		_ = c.conn.Close()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -79,6 +79,7 @@
 	traffic Traffic
 	// memory bounds the frames that are read; nil sets no bound.
 	memory *membudget.Budget
+	meter  *Meter
 	// dialCtx bounds the dials in progress; Close cancels it.
 	dialCtx     context.Context
 	cancelDials context.CancelFunc
@@ -99,6 +100,9 @@
 // SetMemory bounds the frames that are read on all connections together. Call it before the first call.
 func (p *Pool) SetMemory(m *membudget.Budget) { p.memory = m }
 
+// SetMeter counts the frames written to peers. Call it before the first call.
+func (p *Pool) SetMeter(m *Meter) { p.meter = m }
+
 // Call performs one RPC. An error that wraps ErrNotSent means that the peer cannot have executed the
 // call; an rpc.ServerError is the peer's own reply; after any other error, such as a LostError, the call
 // may have been executed. After an error, value must not be read: a late reply may still be decoded into it.
@@ -240,6 +244,7 @@
 	c.lastRead.Store(time.Now().UnixNano())
 	c.expiry = time.AfterFunc(idleTimeout, func() { p.expire(addr, c) })
 	c.codec = newCodec(c.raw, p.events.Clock(), p.memory, p.traffic)
+	c.codec.meter = p.meter.conn(addr, false)
 	c.client = rpc.NewClientWithCodec(clientCodec{codec: c.codec, onPong: c.recordPong, onReply: func() { c.replies.Add(1) }, onMalformed: func(err error) {
 		p.events.Emit(events.PeerFrameMalformed, events.Fields{"peer": addr, "reason": err.Error()})
 	}})
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -38,6 +38,7 @@
 	traffic Traffic
 	// memory bounds the frames that are read and the arguments of the calls in progress; nil sets no bound.
 	memory *membudget.Budget
+	meter  *Meter
 	// calls tracks the calls in progress, for Drain.
 	calls calls
 
@@ -66,6 +67,9 @@
 // before Serve.
 func (s *Server) SetMemory(m *membudget.Budget) { s.memory = m }
 
+// SetMeter counts the frames written to peers. Call it before Serve.
+func (s *Server) SetMeter(m *Meter) { s.meter = m }
+
 // OnNotify sets the handler of a notification (Pool.Notify), which decodes the arguments. It runs on the goroutine that
 // reads the connection. Call it before Serve. Peers that perform an RPC instead need a service of the same name.
 func (s *Server) OnNotify(method string, handle func(decode func(any) error) error) {
@@ -102,7 +106,9 @@
 	malformed := func(err error) {
 		s.events.Emit(events.PeerFrameMalformed, events.Fields{"peer": c.RemoteAddr().String(), "reason": err.Error()})
 	}
-	s.rpc.ServeCodec(serverCodec{codec: newCodec(idleConn{c}, s.events.Clock(), s.memory, s.traffic), onMalformed: malformed,
+	frames := newCodec(idleConn{c}, s.events.Clock(), s.memory, s.traffic)
+	frames.meter = s.meter.conn(c.RemoteAddr().String(), true)
+	s.rpc.ServeCodec(serverCodec{codec: frames, onMalformed: malformed,
 		calls: &s.calls, running: &callMemory{}, memory: s.memory, process: s.process, notified: s.notified})
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -58,6 +58,7 @@
 	metrics.WriteProcessMetrics(&b)
 	m.set.WritePrometheus(&b)
 	m.node.members.WriteMetrics(&b)
+	m.node.sentBytes.WriteMetrics(&b)
 	c.SetContentType("text/plain")
 	c.SetBody(b.Bytes())
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 
 	pool          *peer.Pool
 	server        *peer.Server
+	sentBytes     *peer.Meter
 	members       *gossip.Members
 	store         *platform.Client
 	budget        *dispatch.Budget
@@ -86,8 +87,13 @@
 	frames := membudget.New(int64(frameMemoryFraction * float64(s.MemoryBytes)))
 	n.pool.SetMemory(frames)
 	n.server.SetMemory(frames)
+	links := newHostLinks(s.Zone)
+	n.sentBytes = peer.NewMeter(links.of)
+	n.pool.SetMeter(n.sentBytes)
+	n.server.SetMeter(n.sentBytes)
 	n.members = gossip.New(gossip.Config{Self: gossip.Member{Addr: s.Peers, Name: s.Name, Zone: s.Zone, Region: s.Region},
 		Peers: n.pool.Repeating(), Events: ev, BytesPerSecond: controlBytesPerSecond})
+	n.members.Subscribe(links.update)
 	n.hosts = platform.NewHosts(n.store)
 	n.replica = orders.NewReplica(operator, ev)
 	n.follower = orders.NewFollower(n.replica, operator, n.pool.Repeating(), n.members, ev)
