gossip, orders: only a few gateways of each zone exchange with other zones

Cause: every node probed random members of all zones each second and exchanged orders with another zone each second.

Change: members of a zone of four or more probe, push and repair inside it. Three gateways of each zone, by rendezvous hash over the live members, probe the gateways of the others, relay updates, compare lists and exchange orders. What a node originates itself it also sends to a gateway of each other zone at once. If two members of another zone are suspected, or a zone comes back, all nodes probe that zone as before for 10 s. Nodes exchange orders between zones as before while the store fails or no reader is known to be working. A ping to a peer that has this node's entry names it instead of repeating it; peers of earlier builds get whole entries. A round of pushes goes to four partners instead of three, and a new urgent update makes the next round early, also while the budget for others is used up.

TestNodeBehindOneBrokenLinkIsNotSuspected also breaks a link inside a zone, since members of different zones rarely probe each other now.

--- a/internal/gossip/alive.go
+++ b/internal/gossip/alive.go
@@ -74,6 +74,8 @@
 	alive, dead int
 	// digest is the exclusive or of the address hashes of the live members.
 	digest uint64
+	// alarmUntil is until when this node probes the members of the zone, if it is another one; see alarmSuspects.
+	alarmUntil time.Time
 }
 
 func (m *Members) zone(name string) *zoneView {
--- a/internal/gossip/cluster_test.go
+++ b/internal/gossip/cluster_test.go
@@ -35,6 +35,7 @@
 	cut     func(from, to string) bool // whether the link is cut; nil cuts none
 	changed chan struct{}              // closed when cut changes
 	bytes   map[string]map[int64]int   // by sender and second
+	cross   map[string]int             // bytes between zones, by method
 	started time.Time
 }
 
@@ -50,7 +51,7 @@
 
 func newCluster(t testing.TB) *cluster {
 	return &cluster{t: t, log: configlog.NewMemory(), budget: 17_000, seeds: []string{address(1, 1), address(2, 1)},
-		members: map[string]*testMember{}, changed: make(chan struct{}), bytes: map[string]map[int64]int{}, started: time.Now()}
+		members: map[string]*testMember{}, changed: make(chan struct{}), bytes: map[string]map[int64]int{}, cross: map[string]int{}, started: time.Now()}
 }
 
 func address(zone, host int) string {
@@ -239,7 +240,7 @@
 	if err != nil {
 		return err
 	}
-	l.account(addr, len(response)+frameOverhead/2)
+	l.account(addr, l.from.addr, method, len(response)+frameOverhead/2)
 	if _, err := l.traverse(ctx, addr, l.from.addr); err != nil {
 		return err
 	}
@@ -262,7 +263,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.account(l.from.addr, len(raw)+frameOverhead/2)
+	l.account(l.from.addr, addr, method, len(raw)+frameOverhead/2)
 	return dispatch(NewService(to.Members), method, raw)
 }
 
@@ -290,10 +291,13 @@
 	}
 }
 
-// account records that sender sent n bytes now.
-func (l *link) account(sender string, n int) {
+// account records that sender sent n bytes of a method to receiver now.
+func (l *link) account(sender, receiver, method string, n int) {
 	l.c.mu.Lock()
 	defer l.c.mu.Unlock()
+	if zoneOf(sender) != zoneOf(receiver) {
+		l.c.cross[method] += n
+	}
 	if l.c.bytes[sender] == nil {
 		l.c.bytes[sender] = map[int64]int{}
 	}
--- a/internal/gossip/facts.go
+++ b/internal/gossip/facts.go
@@ -47,13 +47,19 @@
 	f.Expires = time.UnixMilli(f.Expires.UnixMilli())
 	m.mu.Lock()
 	m.mergeFact(f)
+	if i := m.queue.current[itemKey{fact: factKey{f.Kind, f.Key}}]; i != nil {
+		i.far = true
+	}
 	m.mu.Unlock()
 	m.wakePush()
 }
 
 // publishFanout is the number of members to which PublishFact sends a fact itself: two in the own zone and two elsewhere,
 // so that the fact survives the loss of a zone.
-const publishFanout = 4
+const (
+	publishFanout = 4
+	publishNear   = 2
+)
 
 // publishTimeout bounds the wait of PublishFact for connections that are not open.
 const publishTimeout = 10 * time.Millisecond
@@ -62,7 +68,7 @@
 // connections to publishFanout members or after publishTimeout, and does not wait for replies.
 func (m *Members) PublishFact(f Fact) {
 	m.SetFact(f)
-	peers := m.nextPartners(publishFanout)
+	peers := m.nextPartners(publishFanout, publishNear)
 	payload := (&updates{Facts: []factWire{factToWire(f)}}).encode()
 	if len(peers) == 0 || payload == nil {
 		return
@@ -104,7 +110,8 @@
 	m.facts.byKey[k] = f
 	m.facts.bytes += factSize(f)
 	m.digest.flip(factHash(f))
-	m.queue.add(&item{fact: k, class: classUrgent, size: factSize(f)})
+	m.signalUrgent()
+	m.queue.add(&item{fact: k, class: classUrgent, size: factSize(f), far: m.relays(classUrgent)})
 	for _, sub := range m.factSubs {
 		sub(f)
 	}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -44,7 +44,9 @@
 	push    *rate.Limiter
 	repair  *rate.Limiter
 	wake    chan struct{}
-	tasks   sync.WaitGroup
+	// urgent has an element while an urgent update waits for the next round of pushes.
+	urgent chan struct{}
+	tasks  sync.WaitGroup
 
 	list    atomic.Pointer[aliveList]
 	pulling atomic.Bool
@@ -65,6 +67,7 @@
 	zones      map[string]*zoneView
 	prober     prober
 	partners   partners
+	gateways   gateways
 	alive      atomic.Int64 // number of live members
 	rng        *rand.Rand
 	memberSubs []func(Member)
@@ -83,6 +86,7 @@
 	Member
 	hash      uint64    // of the address
 	since     time.Time // of the last change of Status
+	knows     knowledge
 	suspicion *suspicion
 	verifying bool // queued in prober.unverified
 }
@@ -95,7 +99,7 @@
 func New(cfg Config) *Members {
 	cfg.Self.Incarnation = uint64(time.Now().UnixMilli())
 	cfg.Self.Status = Alive
-	m := &Members{cfg: cfg, events: cfg.Events, metrics: newCounters(), self: cfg.Self, wake: make(chan struct{}, 1),
+	m := &Members{cfg: cfg, events: cfg.Events, metrics: newCounters(), self: cfg.Self, wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 		all: map[string]*entry{}, suspects: map[*entry]struct{}{}, queue: newQueue(), facts: newFactTable(), factsSynced: make(chan struct{}), zones: map[string]*zoneView{},
 		push: newLimiter(cfg.BytesPerSecond, pushShare), repair: newLimiter(cfg.BytesPerSecond, repairShare)}
 	m.rng = rand.New(rand.NewPCG(xxhash.Sum64String(cfg.Self.Addr), cfg.Self.Incarnation))
@@ -334,7 +338,7 @@
 
 // Run joins the mesh, probes members and exchanges updates until ctx ends.
 func (m *Members) Run(ctx context.Context) error {
-	for _, task := range []func(context.Context){m.join, m.probeLoop, m.recheckLoop, m.pushLoop, m.expireLoop, m.helloLoop} {
+	for _, task := range []func(context.Context){m.join, m.probeLoop, m.gatewayLoop, m.recheckLoop, m.pushLoop, m.expireLoop, m.helloLoop} {
 		m.tasks.Go(func() { task(ctx) })
 	}
 	<-ctx.Done()
@@ -342,9 +346,6 @@
 	return nil
 }
 
-// leaveFanout is how many members Leave notifies directly.
-const leaveFanout = 8
-
 // Leave announces to leaveFanout members that this node leaves, together with its last
 // facts; they spread both. It returns when they have replied or pushTimeout has passed.
 func (m *Members) Leave(ctx context.Context, last ...Fact) {
@@ -359,7 +360,7 @@
 	}
 	payload := u.encode()
 	m.mu.Unlock()
-	m.send(ctx, m.sample(leaveFanout), payload)
+	m.send(ctx, m.leavePeers(), payload)
 }
 
 func (m *Members) report(old, x Member) {
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -46,8 +46,10 @@
 
 func TestNodeBehindOneBrokenLinkIsNotSuspected(t *testing.T) {
 	withCluster(t, 32, 4, func(c *cluster) {
-		a, b := address(1, 2), address(2, 2)
-		c.setCut(func(from, to string) bool { return (from == a && to == b) || (from == b && to == a) })
+		a, b, near := address(1, 2), address(2, 2), address(1, 3) // members of one zone probe each other
+		c.setCut(func(from, to string) bool {
+			return (from == a && (to == b || to == near)) || (to == a && (from == b || from == near))
+		})
 		time.Sleep(2 * time.Minute)
 		if n := c.sumCounter(func(m *counters) uint64 { return m.suspected.Get() }); n > 0 {
 			t.Errorf("got %d suspicions of nodes that indirect probes reach, want 0", n)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -12,6 +12,17 @@
 	Self    memberWire `msgpack:"s"`
 	Belief  Belief     `msgpack:"y"`
 	Updates []byte     `msgpack:"n,omitempty"`
+	// Known takes the place of Self if the receiver is known to have the sender's entry, and to be of a build that
+	// reads it: an entry is most of a ping's bytes.
+	Known *KnownEntry `msgpack:"k,omitempty"`
+	// Compact says that the sender reads KnownEntry and Ack.Same.
+	Compact bool `msgpack:"c,omitempty"`
+}
+
+// KnownEntry names the entry of an alive member that the receiver has.
+type KnownEntry struct {
+	Addr        string
+	Incarnation uint64
 }
 
 // Ack is the reply to a Ping.
@@ -23,6 +34,10 @@
 	// ZoneAlive is the sender's digest over the addresses of the live members of its zone.
 	ZoneAlive uint64 `msgpack:"z,omitempty"`
 	Updates   []byte `msgpack:"n,omitempty"`
+	// Same takes the place of Self: the sender's entry is the one that Ping.Belief names, and alive.
+	Same bool `msgpack:"e,omitempty"`
+	// Compact is as in Ping.
+	Compact bool `msgpack:"c,omitempty"`
 }
 
 // IndirectPing asks a member to probe Target for the sender.
--- a/internal/gossip/partners.go
+++ b/internal/gossip/partners.go
@@ -15,9 +15,6 @@
 	farPartners  = 8
 	// partnersInterval is the time for which a full set of partners is kept while members change.
 	partnersInterval = time.Second
-	// zonePushes is the number of pushes of a round that go to partners in the own zone; the others go to
-	// partners elsewhere, since bytes between zones cost more.
-	zonePushes = 2
 )
 
 // partners are the members that this node pushes updates to, guarded by Members.mu.
@@ -50,8 +47,9 @@
 	return out
 }
 
-// nextPartners returns up to n partners for one round of pushes.
-func (m *Members) nextPartners(n int) []string {
+// nextPartners returns up to n partners for one round of pushes: near of them in the own zone and the others elsewhere, as
+// far as there are as many.
+func (m *Members) nextPartners(n, near int) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := &m.partners
@@ -60,7 +58,7 @@
 		p.root, p.chosen = m.digest.root, now
 		p.zone, p.far = rotation{addrs: m.ranked(zonePartners, true)}, rotation{addrs: m.ranked(farPartners, false)}
 	}
-	out := p.zone.take(make([]string, 0, n), min(n, zonePushes), m.rng.Shuffle)
+	out := p.zone.take(make([]string, 0, n), min(n, near), m.rng.Shuffle)
 	out = p.far.take(out, n-len(out), m.rng.Shuffle)
 	return p.zone.take(out, n-len(out), m.rng.Shuffle)
 }
--- a/internal/gossip/partners_test.go
+++ b/internal/gossip/partners_test.go
@@ -8,11 +8,11 @@
 // A node that has just started knows nobody at first: news about its upstream waits until partners are chosen again.
 func TestNewNodePushesToItsFirstPeerAtOnce(t *testing.T) {
 	m := New(Config{Self: Member{Addr: "10.0.1.1:7000", Zone: "a"}})
-	if got := m.nextPartners(pushFanout); len(got) != 0 {
+	if got := m.nextPartners(pushFanout, publishNear); len(got) != 0 {
 		t.Fatalf("partners of a node that knows nobody: %v", got)
 	}
 	m.Merge([]Member{{Addr: "10.0.2.1:7000", Zone: "b", Incarnation: 1}}, nil)
-	if got := m.nextPartners(pushFanout); len(got) != 1 {
+	if got := m.nextPartners(pushFanout, publishNear); len(got) != 1 {
 		t.Errorf("partners of a node that knows one other: %v", got)
 	}
 }
@@ -33,7 +33,7 @@
 		m.Merge(all, nil)
 		distinct := map[string]bool{}
 		for range 100 {
-			for _, addr := range m.nextPartners(pushFanout) {
+			for _, addr := range m.nextPartners(pushFanout, publishNear) {
 				distinct[addr] = true
 			}
 		}
@@ -56,10 +56,10 @@
 	m := New(Config{Self: Member{Addr: "10.0.1.1:7000", Zone: "a"}})
 	peers := []Member{{Addr: "10.0.1.2:7000", Zone: "a", Incarnation: 1}, {Addr: "10.0.1.3:7000", Zone: "a", Incarnation: 1}}
 	m.Merge(peers, nil)
-	m.nextPartners(pushFanout)
+	m.nextPartners(pushFanout, publishNear)
 	m.Merge([]Member{{Addr: peers[0].Addr, Zone: "a", Incarnation: 2, Status: Left}}, nil)
 	for range 4 {
-		if got := m.nextPartners(pushFanout); len(got) != 1 || got[0] != peers[1].Addr {
+		if got := m.nextPartners(pushFanout, publishNear); len(got) != 1 || got[0] != peers[1].Addr {
 			t.Errorf("partners after one has left: %v, want %s", got, peers[1].Addr)
 		}
 	}
--- a/internal/gossip/probe.go
+++ b/internal/gossip/probe.go
@@ -99,8 +99,9 @@
 func (m *Members) newRound() {
 	p := &m.prober
 	p.round, p.next = p.round[:0], 0
+	now := time.Now()
 	for _, e := range m.order {
-		if e.live() && e.Addr != m.self.Addr {
+		if e.live() && e.Addr != m.self.Addr && m.probesZone(e.Zone, now) {
 			p.round = append(p.round, e.Addr)
 		}
 	}
@@ -145,15 +146,22 @@
 func (m *Members) ping(ctx context.Context, addr string, timeout time.Duration) bool {
 	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	m.mu.Lock()
-	args := &Ping{Self: toWire(m.self), Belief: m.belief(addr), Updates: m.piggyback()}
-	m.mu.Unlock()
-	var ack Ack
-	if err := m.cfg.Peers.Call(bounded, addr, "Gossip.Ping", args, &ack); err != nil {
-		return false
+	for {
+		m.mu.Lock()
+		args := &Ping{Belief: m.belief(addr), Updates: m.piggyback(), Compact: true}
+		m.introduce(args, addr)
+		m.mu.Unlock()
+		var ack Ack
+		if err := m.cfg.Peers.Call(bounded, addr, "Gossip.Ping", args, &ack); err != nil {
+			return false
+		}
+		m.expandAck(args, addr, &ack)
+		m.handleAck(ctx, addr, &ack)
+		if args.Known == nil || ack.Belief.Incarnation >= args.Known.Incarnation {
+			return true
+		}
+		// The peer does not know this node's entry, as after its restart: introduce tells it now.
 	}
-	m.handleAck(ctx, addr, &ack)
-	return true
 }
 
 // handleAck applies an ack and starts a repair if it shows that this node's list differs.
--- a/internal/gossip/push.go
+++ b/internal/gossip/push.go
@@ -17,15 +17,18 @@
 	// pushInterval is the time between two rounds of pushes. Less spreads updates sooner and sends smaller messages,
 	// each of which costs a node about as much as a hundred updates.
 	pushInterval = 200 * time.Millisecond
-	pushTimeout  = 500 * time.Millisecond
-	pushFanout   = 3
+	// urgentInterval is the time after a round from which a new urgent update is sent, so that it does not wait in each
+	// node on its way until a round about others is due.
+	urgentInterval = 50 * time.Millisecond
+	pushTimeout    = 500 * time.Millisecond
+	pushFanout     = 4
 	// pushBytes bounds the updates in one push, before compression.
-	pushBytes = 4 << 10
+	pushBytes = 3 << 10
 	// An update that each of n nodes sends ln(n)+c times misses a fraction e^-c of them on
 	// average (Demers et al. 1987, section 1.4), which the exchange of digests repairs. For
 	// urgent updates c is high enough that pushes alone reach practically all nodes.
 	transmitsUrgent = 9
-	transmitsOther  = 3
+	transmitsOther  = 4
 	// longQueue is the number of queued updates above which each is sent less often, down
 	// to minTransmits: for many updates, as after a mass restart, the exchange of digests
 	// needs fewer bytes.
@@ -92,9 +95,12 @@
 
 // enqueue queues the entry x for other members. m.mu is held.
 func (m *Members) enqueue(x Member, class int) {
+	if class == classUrgent {
+		m.signalUrgent()
+	}
 	u := x.Upstream
 	size := memberSize + len(x.Addr) + len(x.Name) + len(x.Zone) + len(x.Region) + len(u.Service) + len(u.Version) + len(u.Instance)
-	m.queue.add(&item{addr: x.Addr, class: class, size: size})
+	m.queue.add(&item{addr: x.Addr, class: class, size: size, far: x.Addr == m.self.Addr || m.relays(class)})
 }
 
 // transmitLimits returns how many times an update of each class is sent, given the
@@ -117,8 +123,13 @@
 	if m.queue.len() == 0 {
 		return nil
 	}
+	return m.encodeItems(m.queue.dequeue(maxBytes, times, m.transmitLimits()))
+}
+
+// encodeItems returns the payload with queued updates, nil if there are none. m.mu is held.
+func (m *Members) encodeItems(items []*item) []byte {
 	var u updates
-	for _, i := range m.queue.dequeue(maxBytes, times, m.transmitLimits()) {
+	for _, i := range items {
 		switch {
 		case i.suspect != nil:
 			u.Suspects = append(u.Suspects, *i.suspect)
@@ -196,35 +207,88 @@
 			return
 		}
 		for m.pushRound(ctx) {
-			if !duration.Sleep(ctx, pushInterval) {
+			if !m.awaitRound(ctx) {
 				return
 			}
 		}
 	}
 }
 
-// pushRound sends one payload to pushFanout partners and reports whether another round is
-// needed.
+// awaitRound waits until the next round of pushes is due. It returns false if ctx ends first.
+func (m *Members) awaitRound(ctx context.Context) bool {
+	start, timer := time.Now(), time.NewTimer(pushInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-m.urgent:
+		m.signalUrgent() // the round takes it
+		return duration.Sleep(ctx, urgentInterval-time.Since(start))
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// signalUrgent makes the next round of pushes early.
+func (m *Members) signalUrgent() {
+	select {
+	case m.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// pushRound sends one payload to pushFanout partners, and what other zones get from this node to a gateway of each. It
+// reports whether another round is needed.
 func (m *Members) pushRound(ctx context.Context) bool {
+	size := pushBytes
 	if !hasBudget(m.push) {
-		return true
+		if overdrawn(m.push) || len(m.urgent) == 0 {
+			return true
+		}
+		size = piggybackBytes // urgent updates are the first
 	}
-	peers := m.nextPartners(pushFanout)
+	peers := m.nextPartners(pushFanout, pushFanout)
 	if len(peers) == 0 {
 		return false
 	}
 	m.mu.Lock()
-	payload := m.dequeueUpdates(pushBytes, len(peers))
+	select {
+	case <-m.urgent: // goes with this round
+	default:
+	}
+	items := m.queue.dequeue(size, len(peers), m.transmitLimits())
+	payload, far, farPeers := m.encodeItems(items), []byte(nil), []string(nil)
+	if items = takeFar(items); len(items) > 0 {
+		far, farPeers = m.encodeItems(items), m.farPeers()
+	}
 	more := m.queue.len() > 0
 	m.mu.Unlock()
-	if len(payload) == 0 {
-		return more
+	m.pushRoundTo(ctx, peers, payload)
+	m.pushRoundTo(ctx, farPeers, far)
+	return more
+}
+
+// takeFar returns the updates that this node has to send to other zones, and marks them as sent there.
+func takeFar(items []*item) []*item {
+	var out []*item
+	for _, i := range items {
+		if i.far {
+			i.far = false
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// pushRoundTo sends the payload of one round to peers in the background.
+func (m *Members) pushRoundTo(ctx context.Context, peers []string, payload []byte) {
+	if len(payload) == 0 || len(peers) == 0 {
+		return
 	}
 	bytes := len(peers) * (len(payload) + messageOverhead)
 	consume(m.push, bytes)
 	m.metrics.pushSent.Add(bytes)
 	m.tasks.Go(func() { m.pushTo(ctx, peers, payload) })
-	return more
 }
 
 // pushTo sends payload to all peers, which do not reply: what is lost is repaired.
--- a/internal/gossip/queue.go
+++ b/internal/gossip/queue.go
@@ -17,6 +17,8 @@
 	class   int
 	sent    int
 	size    int
+	// far is set while this node has to send the update to other zones.
+	far bool
 }
 
 type itemKey struct {
@@ -41,8 +43,8 @@
 func (q *queue) len() int { return len(q.current) }
 
 func (q *queue) add(i *item) {
-	if old := q.current[i.key()]; old != nil && old.class < i.class {
-		i.class = old.class
+	if old := q.current[i.key()]; old != nil {
+		i.class, i.far = min(i.class, old.class), i.far || old.far
 	}
 	q.current[i.key()] = i
 	q.push(i)
--- a/internal/gossip/repair.go
+++ b/internal/gossip/repair.go
@@ -54,14 +54,15 @@
 
 // pull copies the differing buckets from addr, page by page. It reports whether the list
 // is complete now; if addr is busy, others are members to pull from instead.
+// What a gateway learns from another zone it passes on in its own.
 func (m *Members) pull(ctx context.Context, addr string) (complete bool, others []string) {
-	start := 0
+	start, spread := 0, m.passesOn(addr)
 	for {
 		var reply PullReply
 		if err := m.pullPage(ctx, addr, start, &reply); err != nil {
 			return false, nil
 		}
-		m.mergePayload(reply.Updates, false)
+		m.mergePayload(reply.Updates, spread)
 		m.mu.Lock()
 		m.observe(fromWire(&reply.Self))
 		m.mu.Unlock()
@@ -78,6 +79,14 @@
 	}
 }
 
+// passesOn reports whether this node spreads in its zone what it pulls from addr.
+func (m *Members) passesOn(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.all[addr]
+	return m.synced && e != nil && e.Zone != m.self.Zone && m.isGateway()
+}
+
 func (m *Members) pullPage(ctx context.Context, addr string, start int, reply *PullReply) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
@@ -164,11 +173,16 @@
 	m.metrics.repairSent.Add(hashSize*len(hashes) + messageOverhead)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	revived := 0
 	for _, h := range decodeHashes(reply.Alive) {
 		if e := dead[h]; e != nil && e.Status == Dead {
 			x := e.Member
 			x.Status = Alive
 			m.put(x, noSpread)
+			revived++
 		}
 	}
+	if revived >= alarmSuspects {
+		m.alarm(zone) // the zone was cut off, and more may have changed in it
+	}
 }
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -19,11 +19,10 @@
 	m.mergePayload(args.Updates, true)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if args.Self.valid() {
-		m.observe(fromWire(&args.Self))
-	}
-	m.handleBelief(args.Belief, args.Self.Zone)
-	reply.Self, reply.Belief = toWire(m.self), m.belief(args.Self.Addr)
+	addr, zone := m.expandPing(args)
+	m.handleBelief(args.Belief, zone)
+	reply.Belief, reply.Compact = m.belief(addr), true
+	m.introduceReply(args, reply)
 	reply.Root, reply.ZoneAlive = m.digest.root, m.zone(m.self.Zone).digest
 	reply.Updates = m.piggyback()
 	m.wakePush()
--- a/internal/gossip/suspicion.go
+++ b/internal/gossip/suspicion.go
@@ -72,8 +72,9 @@
 		x := e.Member
 		x.Status = Suspect
 		m.put(x, noSpread)
+		m.checkAlarm(x.Zone)
 	}
-	m.queue.add(&item{addr: s.Addr, suspect: &s, class: classSuspect, size: suspectSize})
+	m.queue.add(&item{addr: s.Addr, suspect: &s, class: classSuspect, size: suspectSize, far: m.relays(classSuspect)})
 }
 
 // expireLoop runs expire every expireInterval.
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -67,6 +67,9 @@
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (w *memberWire) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if *w == (memberWire{}) {
+		return enc.EncodeNil()
+	}
 	type plain memberWire
 	return encodeArray(enc, (*plain)(w))
 }
@@ -89,6 +92,12 @@
 	return encodeArray(enc, (*plain)(b))
 }
 
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (k *KnownEntry) EncodeMsgpack(enc *msgpack.Encoder) error {
+	type plain KnownEntry
+	return encodeArray(enc, (*plain)(k))
+}
+
 // shortenAddr returns addr without its IP if that equals the IP of base.
 func shortenAddr(base, addr string) string {
 	i := strings.LastIndexByte(base, ':')
--- a/internal/orders/follow_test.go
+++ b/internal/orders/follow_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"celerybank/internal/gossip"
 )
@@ -192,6 +193,22 @@
 	stop map[string]context.CancelFunc
 	// sent counts the bytes of the records that each host has sent to others.
 	sent map[string]int
+	// cross counts the bytes between zones, with frameOverhead for each message.
+	cross int
+}
+
+// frameOverhead is the size of the frame and the header of a message between nodes, in bytes.
+const frameOverhead = 32
+
+// countCross counts a message between nodes.
+func (f *fleet) countCross(from, to string, message any) {
+	if strings.Split(from, ".")[1] == strings.Split(to, ".")[1] {
+		return
+	}
+	raw, _ := msgpack.Marshal(message)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cross += len(raw) + frameOverhead
 }
 
 func (f *fleet) count(from string, batch Batch) {
@@ -246,7 +263,9 @@
 		m.f.count(m.self.Addr, args.(*Update).Batch)
 		return s.News(args.(*Update), reply.(*Empty))
 	case "Orders.Pull":
+		m.f.countCross(m.self.Addr, addr, args)
 		err := s.Pull(args.(*PullRequest), reply.(*PullReply))
+		m.f.countCross(addr, m.self.Addr, reply)
 		m.f.count(addr, reply.(*PullReply).Batch)
 		return err
 	}
