peer, proxy: strings that repeat are sent as an index

Cause: each call between nodes repeats the RPC method, header names, addresses, service, route and instance.

Both ends tell in the first heartbeat which common strings they read. A peer of an earlier build tells nothing and gets the frames of before.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -54,6 +54,9 @@
 	clock   *events.Clock
 	// meter counts the frames written; nil counts none.
 	meter *connMeter
+	// written is the dictionary of the frames written, and dict that of the frames read.
+	written writeDictionary
+	dict    []string
 
 	// Used only by the reader: net/rpc reads a connection from one goroutine.
 	in     *bufio.Reader
@@ -73,7 +76,7 @@
 		onBytes = func(string, bool, int) {}
 	}
 	return &codec{conn: conn, clock: clock, in: bufio.NewReaderSize(conn, readBufferSize), onBytes: onBytes,
-		decode: msgpack.NewDecoder(nil), held: holdFrame(memory, conn)}
+		decode: msgpack.NewDecoder(nil), dict: readDictionary(), held: holdFrame(memory, conn)}
 }
 
 // holdFrame returns the holder of the memory of one frame. A frame that has to give way to others ends its connection.
@@ -92,7 +95,7 @@
 	}
 	buf := frameBuffers.Get().(*frameBuffer)
 	defer buf.release()
-	if err := buf.encode(&h, body); err != nil {
+	if err := buf.encode(&h, body, c.dictionary(body)); err != nil {
 		return err
 	}
 	c.wmu.Lock()
@@ -111,6 +114,20 @@
 	return nil
 }
 
+// dictionary returns the indices with which a message is encoded, nil if the peer reads none. Strings that repeat are
+// defined unless the peer is in the same zone, where bytes cost less than the work.
+func (c *codec) dictionary(body any) map[string]int {
+	indices := c.written.indices.Load()
+	if indices == nil {
+		return nil
+	}
+	if r, ok := body.(Repeater); ok && c.meter.linkNow() != LinkSameZone {
+		c.written.learn(r, func(m *Define) error { return c.write(header{Method: defineMethod, Seq: notifySeq}, m) })
+		indices = c.written.indices.Load()
+	}
+	return *indices
+}
+
 // errPartialWrite reports a partially written frame, which the peer never decodes.
 var errPartialWrite = errors.New("frame only partially written")
 
@@ -120,11 +137,11 @@
 func (f *frameBuffer) Write(p []byte) (int, error) { f.b = append(f.b, p...); return len(p), nil }
 
 // encode replaces the contents of the buffer by a frame. It returns errEncode or ErrTooLarge.
-func (f *frameBuffer) encode(h *header, body any) error {
+func (f *frameBuffer) encode(h *header, body any, dict map[string]int) error {
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
 	f.b = append(f.b[:0], 0, 0, 0, 0)
-	enc.Reset(f)
+	enc.ResetDict(f, dict)
 	enc.UseCompactInts(true)
 	if err := enc.Encode(h); err != nil {
 		return errors.Wrap(errEncode, err.Error())
@@ -151,8 +168,24 @@
 
 var frameBuffers = sync.Pool{New: func() any { return new(frameBuffer) }}
 
-// readHeader reads the next frame completely and decodes its header.
+// readHeader reads the next frame completely and decodes its header. It applies definitions of strings before it.
 func (c *codec) readHeader() (h header, err error) {
+	for {
+		if h, err = c.readFrameHeader(); err != nil || h.Method != defineMethod {
+			return h, err
+		}
+		var m Define
+		if err = c.readBody(&m); err == nil {
+			c.dict, err = applyDefine(c.dict, &m)
+		}
+		if err != nil {
+			return h, err
+		}
+	}
+}
+
+// readFrameHeader reads one frame completely and decodes its header.
+func (c *codec) readFrameHeader() (h header, err error) {
 	var size [frameHeaderSize]byte
 	if _, err = io.ReadFull(c.in, size[:]); err != nil {
 		return h, err
@@ -169,7 +202,7 @@
 		return h, errors.Wrap(err, "truncated frame")
 	}
 	c.body.Reset(c.buf)
-	c.decode.Reset(&c.body)
+	c.decode.ResetDict(&c.body, c.dict)
 	if err = c.decode.Decode(&h); err != nil {
 		c.releaseFrame()
 		return h, errors.Errorf("frame header: %v", err)
@@ -333,6 +366,7 @@
 	var p Ping
 	err := c.readBody(&p)
 	if err == nil {
+		c.written.enable(p.Common)
 		c.answerPing(seq, p)
 	}
 	return err
@@ -342,7 +376,7 @@
 func (c serverCodec) answerPing(seq uint64, p Ping) {
 	pong := &Pong{}
 	if p.Hello {
-		pong.Process = c.process
+		pong.Process, pong.Common = c.process, len(commonStrings)
 	}
 	answer := func() { _ = c.write(header{Method: pingMethod, Seq: seq}, pong) }
 	if c.wmu.TryLock() {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -96,7 +96,11 @@
 func (c *conn) ping() error {
 	seq := pingSeqBase + c.pingSeq.Add(1)
 	c.pingAt.Store(time.Now().UnixNano())
-	return c.codec.write(header{Method: pingMethod, Seq: seq}, &Ping{Hello: c.process.Load() == 0})
+	ping := &Ping{}
+	if c.process.Load() == 0 {
+		ping.Hello, ping.Common = true, len(commonStrings)
+	}
+	return c.codec.write(header{Method: pingMethod, Seq: seq}, ping)
 }
 
 // recordPong handles the reply to a heartbeat.
@@ -105,6 +109,7 @@
 		c.rtt.observe(time.Since(time.Unix(0, c.pingAt.Load())))
 	}
 	c.proven.Store(true)
+	c.codec.written.enable(p.Common)
 	if p.Process != 0 {
 		c.process.Store(p.Process)
 	}
--- a/internal/peer/meter.go
+++ b/internal/peer/meter.go
@@ -90,16 +90,25 @@
 	link    atomic.Uint32
 }
 
-// sent counts a frame of n bytes.
-func (c *connMeter) sent(h *header, n int) {
+// linkNow returns the link of the connection.
+func (c *connMeter) linkNow() Link {
 	if c == nil {
-		return
+		return LinkUnknown
 	}
 	link := Link(c.link.Load())
 	if link == LinkUnknown {
 		link = c.meter.link(c.ip)
 		c.link.Store(uint32(link))
 	}
+	return link
+}
+
+// sent counts a frame of n bytes.
+func (c *connMeter) sent(h *header, n int) {
+	if c == nil {
+		return
+	}
+	link := c.linkNow()
 	kind := kindRequest
 	switch {
 	case h.Method == pingMethod:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -248,7 +248,7 @@
 // than has arrived.
 func FuzzFrame(f *testing.F) {
 	var valid frameBuffer
-	if err := valid.encode(&header{Method: "Proxy.Say", Seq: 7}, &Message{Text: "a", Bytes: []byte("b")}); err != nil {
+	if err := valid.encode(&header{Method: "Proxy.Say", Seq: 7}, &Message{Text: "a", Bytes: []byte("b")}, nil); err != nil {
 		f.Fatal(err)
 	}
 	f.Add(valid.b)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,10 +20,14 @@
 	Ping struct {
 		// Hello asks for the identifier of the process.
 		Hello bool `msgpack:"h,omitempty"`
+		// Common is how many of commonStrings the sender reads; 0 if the build does not tell.
+		Common int `msgpack:"c,omitempty"`
 	}
 	Pong struct {
 		// Process identifies the process that answers; 0 if it was not asked for or the build does not tell.
 		Process uint64 `msgpack:"p,omitempty"`
+		// Common is as in Ping. It is told with Process.
+		Common int `msgpack:"c,omitempty"`
 	}
 )
 
