balance: calls cross zones only for slots that are known to be free

Cause: an upstream that was full at home cost as much as a crossing, and the load of an upstream that this node had not heard of lately counted as drained. In an overload of all zones most requests crossed and found no more room there.

Change: a request stays in its zone while an upstream there has a free slot, or if all zones are full. It goes elsewhere if the own zone has no usable upstream, if all of its upstreams are much slower or fail, or if none has a free slot and one elsewhere is known, by a report of the last second, to have more than one. Lenders are chosen at random in proportion to their spare slots. Where nothing is known, a request is sent now and then to find out (each 0.25 to 4 s per node and zone); its owner refuses it at once when full. The speed of an upstream is measured by route.

TestFullUpstreamIsAvoided expected a crossing to upstreams of which nothing was known; it now expects one request to each such zone, and crossings once free slots are reported.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -26,8 +26,16 @@
 
 // group holds the upstreams of one service and the mean processing times of its routes.
 type group struct {
-	endpoints atomic.Pointer[[]*Endpoint]
+	endpoints atomic.Pointer[endpoints]
 	meanTimes sync.Map // route to *movingAverage
+	borrowing borrowing
+}
+
+// endpoints are the upstreams of one service. The slices are not modified.
+type endpoints struct {
+	all []*Endpoint
+	// home are those in this node's zone, and far the others.
+	home, far []*Endpoint
 }
 
 // movingAverage is an exponentially weighted moving average of processing times.
@@ -61,7 +69,7 @@
 
 func newGroup() *group {
 	g := &group{}
-	g.endpoints.Store(&[]*Endpoint{})
+	g.endpoints.Store(&endpoints{})
 	return g
 }
 
@@ -96,12 +104,21 @@
 // change replaces the endpoint list of a service by the result of f on a copy. b.mu is held.
 func (b *Balancer) change(service string, f func([]*Endpoint) []*Endpoint) {
 	g := b.group(service)
-	next := f(slices.Clone(*g.endpoints.Load()))
-	g.endpoints.Store(&next)
+	next := &endpoints{all: f(slices.Clone(g.endpoints.Load().all))}
+	for _, e := range next.all {
+		if e.Zone == b.zone {
+			next.home = append(next.home, e)
+		} else {
+			next.far = append(next.far, e)
+		}
+	}
+	g.endpoints.Store(next)
 }
 
 // Endpoints returns the upstreams of a service. The slice is shared and must not be modified.
-func (b *Balancer) Endpoints(service string) []*Endpoint { return *b.group(service).endpoints.Load() }
+func (b *Balancer) Endpoints(service string) []*Endpoint {
+	return b.group(service).endpoints.Load().all
+}
 
 // MeanProcessingTime returns the mean processing time on a route, 0 before the first response.
 func (b *Balancer) MeanProcessingTime(service, route string) time.Duration {
@@ -156,9 +173,6 @@
 	pipelinedFactor = 2
 )
 
-// maxScanned is the number of upstreams that one choice considers at most.
-const maxScanned = 48
-
 // Choice is the endpoint with the lowest expected cost.
 type Choice struct {
 	*Endpoint
@@ -168,47 +182,12 @@
 	Only    bool
 }
 
-// Pick returns the best choice for a request; its Endpoint is nil if there is none.
-func (b *Balancer) Pick(c Criteria) Choice {
-	all := b.Endpoints(c.Service)
-	mean := b.MeanProcessingTime(c.Service, c.Route)
-	if mean == 0 {
-		mean = defaultProcessingTime
-	}
-	now := time.Now()
-	var best, second candidate
-	start := 0
-	if len(all) > maxScanned {
-		start = rand.IntN(len(all))
-	}
-	for i := range min(len(all), maxScanned) {
-		e := all[(start+i)%len(all)]
-		if slices.Contains(c.Tried, e) || (c.Eligible != nil && !c.Eligible(e)) {
-			continue
-		}
-		if e.Zone != b.zone && b.zones.unreachable(e.Zone, now) {
-			continue
-		}
-		s := e.state(now)
-		if s.leaving {
-			continue
-		}
-		x := candidate{endpoint: e, state: s, cost: b.cost(e, s, mean, c)}
-		switch {
-		case x.before(best):
-			best, second = x, best
-		case x.before(second):
-			second = x
-		}
-	}
-	return best.choice(second, c.Pipelined)
-}
-
 // candidate is an endpoint that may get the request.
 type candidate struct {
 	endpoint *Endpoint
 	state    state
-	cost     time.Duration
+	// cost is the expected cost, and quality the part of it that does not depend on the load.
+	cost, quality time.Duration
 }
 
 // before reports whether x is a better choice than y. Upstreams in back-off or on a suspect host come last.
@@ -245,22 +224,24 @@
 // RecordResponse records that the owner of e responded.
 func (b *Balancer) RecordResponse(e *Endpoint) { b.zones.recordResponse(e.Zone, time.Now()) }
 
-// cost returns the expected cost of sending a request to e. mean is the mean processing time on the
-// route of the request.
-func (b *Balancer) cost(e *Endpoint, s state, mean time.Duration, c Criteria) time.Duration {
-	transit, extra := s.transit, jitterCost*b.Random()
+// candidate returns e as a candidate. mean is the mean processing time on the route of the request.
+func (b *Balancer) candidate(e *Endpoint, s state, mean time.Duration, c Criteria) candidate {
+	transit, extra, busy := s.transit, jitterCost*b.Random(), 0.0
 	if e.Zone != b.zone {
 		extra += crossZoneCost
 		transit = max(transit, minCrossZoneTransit)
 	}
 	if s.utilization > utilizationStart {
-		extra += utilizationCost * (s.utilization - utilizationStart) / (1 - utilizationStart)
+		busy = utilizationCost * (s.utilization - utilizationStart) / (1 - utilizationStart)
 	}
-	latency := float64(mean)*s.slowness + float64(s.wait+transit)
-	// A failure costs the caller the rest of its time.
-	latency += s.failureRatio * max(0, float64(c.Left)-latency)
-	if c.Pipelined {
-		latency *= pipelinedFactor
+	cost := func(wait time.Duration, extra float64) time.Duration {
+		latency := float64(mean)*s.slowness + float64(wait+transit)
+		// A failure costs the caller the rest of its time.
+		latency += s.failureRatio * max(0, float64(c.Left)-latency)
+		if c.Pipelined {
+			latency *= pipelinedFactor
+		}
+		return time.Duration(latency + extra*float64(mean))
 	}
-	return time.Duration(latency + extra*float64(mean))
+	return candidate{endpoint: e, state: s, cost: cost(s.wait, extra+busy), quality: cost(0, extra)}
 }
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -28,6 +28,10 @@
 	inUse, limit int
 	meanTime     time.Duration
 	reported     time.Time
+	// inflightReported is the number of requests of this node that were in flight when the load was reported.
+	inflightReported int
+	// routes has the slowness of the upstream on single routes.
+	routes []routeSpeed
 	// slowness is the upstream's processing time relative to the mean of the routes, failureRatio
 	// the ratio of its requests that failed. Both decay from estimated on.
 	slowness, failureRatio float64
@@ -99,7 +103,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.inUse, e.limit, e.meanTime, e.reported = l.InUse, l.Limit, l.MeanTime, now
+	e.inUse, e.limit, e.meanTime, e.reported, e.inflightReported = l.InUse, l.Limit, l.MeanTime, now, max(0, e.inflight-1) // without the one that reports
 	e.heard.Record(l.RateLimit, now)
 	if l.Slowness <= 0 {
 		return false
@@ -210,9 +214,13 @@
 	utilization float64
 	avoided     bool
 	leaving     bool
+	// known is set if the reported load is fresh, and spare the number of slots that it then may lend to another zone.
+	known bool
+	spare int
 }
 
-func (e *Endpoint) state(now time.Time) state {
+// stateFor returns the state for a request of a route.
+func (e *Endpoint) stateFor(route string, now time.Time) state {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.decay(now)
@@ -225,5 +233,12 @@
 	if over := inUse + 1 - float64(e.limit); over > 0 {
 		s.wait = time.Duration(over * float64(e.meanTime) / float64(e.limit))
 	}
+	if s.known = !e.reported.IsZero() && now.Sub(e.reported) <= reportFresh; s.known {
+		// The drain that is assumed above is that of a host without new requests, which one elsewhere may get.
+		s.spare = e.limit - e.inUse - max(0, e.inflight-e.inflightReported) - keptSlots
+	}
+	if r := e.routeSpeed(route, now); r != nil {
+		s.slowness = r.slowness
+	}
 	return s
 }
