--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -66,6 +66,7 @@
 	m.set.WritePrometheus(&b)
 	m.node.members.WriteMetrics(&b)
 	m.node.usage.writeMetrics(&b)
+	m.node.sentBytes.WriteMetrics(&b)
 	c.SetContentType("text/plain")
 	c.SetBody(b.Bytes())
 }
