--- a/internal/delivery/rounds_test.go
+++ b/internal/delivery/rounds_test.go
@@ -20,6 +20,10 @@
 	got  []string
 }
 
+// arrivalGap is the time between two arrivals. It exceeds the assumed processing time of the first requests, so that
+// the demand stays below what the gate absorbs.
+const arrivalGap = 200 * time.Millisecond
+
 func newQueuer(t *testing.T) *queuer {
 	q := &queuer{t: t, gate: NewGate()}
 	q.gate.Open(1, time.Time{}, 0)
@@ -39,6 +43,7 @@
 		}
 	}()
 	synctest.Wait()
+	time.Sleep(arrivalGap)
 	return cancel
 }
 
