delivery: the lowest rank gives way at the bound of a queue

Change: a newcomer of a better rank that grows the queue beyond its bound displaces the last request of the lowest rank, which is refused at once, not-run, with a Retry-After (event request-displaced, with both ranks). The pressure reported for children aims at two run times of queue instead of one, with which the called service is used whole. Events run-refused and request-displaced tell the inputs of the decisions; metrics count them.

--- a/internal/calltree/calltree.go
+++ b/internal/calltree/calltree.go
@@ -100,6 +100,10 @@
 	OK bool
 	// RetryAfter is when the caller of a refused run may expect capacity.
 	RetryAfter time.Duration
+	// Service is the called service with the largest pressure, and Pressure that; Rate is the number of runs that the
+	// route may start per second. They are set if the run is refused.
+	Service        string
+	Pressure, Rate float64
 	// counted is set if the route had a limit, of which the run used a part.
 	counted bool
 }
@@ -143,7 +147,8 @@
 	}
 	r.constrained = now
 	r.waiting = min(r.waiting+1, r.rate*maxRetryAfter.Seconds())
-	return Admission{RetryAfter: r.retryAfter()}
+	service, pressure := r.worst(now)
+	return Admission{RetryAfter: r.retryAfter(), Service: service, Pressure: pressure, Rate: r.rate}
 }
 
 // Withdraw returns an admission that was not used: the request got no slot.
@@ -210,7 +215,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.routes[name]; r != nil {
-		return r.pressure(now)
+		_, pressure := r.worst(now)
+		return pressure
 	}
 	return 0
 }
+
+// Limited returns the number of routes that have a limit at the moment.
+func (t *Tree) Limited() (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.routes {
+		if r.rate > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/calltree/rate.go
+++ b/internal/calltree/rate.go
@@ -17,7 +17,7 @@
 	weight := 1 - math.Exp(-past.Seconds()/rateMemory.Seconds())
 	r.runRate += weight * (float64(r.admitted)/past.Seconds() - r.runRate)
 	r.changed, r.admitted, r.news = now, 0, 0
-	pressure := r.pressure(now)
+	_, pressure := r.worst(now)
 	if r.rate == 0 {
 		if pressure <= 1 {
 			return
@@ -50,15 +50,16 @@
 	r.rate = max(rate, minRate)
 }
 
-// pressure returns the largest pressure at the called services.
-func (r *route) pressure(now time.Time) float64 {
-	most := 0.0
-	for _, s := range r.services {
+// worst returns the called service with the largest pressure.
+func (r *route) worst(now time.Time) (name string, pressure float64) {
+	for n, s := range r.services {
 		age := max(0, now.Sub(s.heard)-minInterval)
 		known := math.Exp2(-age.Seconds() / newsHalfLife.Seconds())
-		most = max(most, known*s.pressure+(1-known)*unknownPressure)
+		if p := known*s.pressure + (1-known)*unknownPressure; p > pressure {
+			name, pressure = n, p
+		}
 	}
-	return most
+	return name, pressure
 }
 
 // refill adds the admissions of the time since the last refill.
--- a/internal/delivery/children.go
+++ b/internal/delivery/children.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"celerybank/internal/calltree"
+	"celerybank/internal/events"
 	"celerybank/internal/proxy"
 	"celerybank/internal/verdict"
 )
@@ -50,8 +51,20 @@
 }
 
 // refuseRun returns the refusal of a request whose children would not be served.
-func refuseRun(a calltree.Admission) *proxy.Response {
+func (o *Owner) refuseRun(req *proxy.Request, a calltree.Admission) *proxy.Response {
+	o.dependencyFull.Add(1)
+	o.Events.Emit(events.RunRefused, events.Fields{"request": req.RequestID, "service": req.Service, "route": req.Route, "rank": req.Rank,
+		"called": a.Service, "pressure": a.Pressure, "rate": a.Rate, "retry_after_ms": a.RetryAfter.Milliseconds()})
 	res := proxy.Refusal(verdict.NotRun, proxy.ReasonDependencyFull)
 	res.RetryAfter = a.RetryAfter
 	return res
 }
+
+// Displaced returns the number of queued requests that gave way to others of a better rank.
+func (o *Owner) Displaced() int64 { return o.displaced.Load() }
+
+// DependencyFull returns the number of requests that were refused because their children would not be served.
+func (o *Owner) DependencyFull() int64 { return o.dependencyFull.Load() }
+
+// LimitedRoutes returns the number of routes whose runs are limited because of their children.
+func (o *Owner) LimitedRoutes() int { return o.trees.Limited() }
--- a/internal/delivery/gate.go
+++ b/internal/delivery/gate.go
@@ -34,6 +34,9 @@
 type Refusal struct {
 	Reason     proxy.Reason
 	RetryAfter time.Duration
+	// Displaced is set if the request was queued and gave way to a newcomer of the rank DisplacedBy.
+	Displaced   bool
+	DisplacedBy int
 }
 
 // maxQueued bounds the memory of the queue. The deadlines of the requests limit it long before.
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -97,6 +97,8 @@
 	Config
 	running running
 	trees   calltree.Tree
+	// displaced counts the queued requests that gave way to others, dependencyFull those refused for their children.
+	displaced, dependencyFull atomic.Int64
 
 	// mu makes a change of the upstream and of the gate atomic.
 	mu             sync.Mutex
@@ -248,12 +250,13 @@
 	}
 	admission := o.admitRun(req)
 	if !admission.OK {
-		return refuseRun(admission)
+		return o.refuseRun(req, admission)
 	}
 	now := time.Now()
 	slot := SlotRequest{Rank: req.Rank, Route: req.Route, Deadline: now.Add(req.Timeout), MaxWait: req.MaxWait, WaitToDeadline: req.WaitToDeadline, RateLimit: req.RateLimit}
 	if refused, ok := o.Gate.Acquire(ctx, slot); !ok {
 		o.trees.Withdraw(req.Route, admission)
+		o.reportDisplaced(req, refused)
 		res := proxy.Refusal(verdict.NotRun, refused.Reason)
 		res.RetryAfter = refused.RetryAfter
 		return res
@@ -269,7 +272,7 @@
 	}
 	if admission = o.startRun(req, admission); !admission.OK {
 		o.Gate.Release(req.Route, 0)
-		return refuseRun(admission)
+		return o.refuseRun(req, admission)
 	}
 	o.running.add(req)
 	res := o.send(ctx, up, req)
--- a/internal/delivery/pressure.go
+++ b/internal/delivery/pressure.go
@@ -15,7 +15,7 @@
 	pressureWindow = 300 * time.Millisecond
 	// queueRuns is the wait, in mean run times, at which the slots are busy; queuePressure is what each run time more or
 	// less adds to the pressure.
-	queueRuns, queuePressure = 1, 0.1
+	queueRuns, queuePressure = 2, 0.1
 )
 
 // rootDemand keeps, for each rank of the roots whose children come in, the demand that goes before them: children of
--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -88,6 +88,7 @@
 	}
 	w := &queuedRequest{SlotRequest: r, done: make(chan struct{})}
 	g.queue = slices.Insert(g.queue, turn, w)
+	g.displace(r, &b)
 	return w, Refusal{}
 }
 
@@ -108,7 +109,7 @@
 		// More has arrived than this caller can wait for. A longer queue would serve no more callers, only each
 		// of them later.
 		return g.capacityReason(b.now)
-	case !r.WaitToDeadline && wait > r.MaxWait, len(g.queue) >= maxQueued:
+	case !r.WaitToDeadline && wait > r.MaxWait, len(g.queue) >= maxQueued && g.queue[len(g.queue)-1].Rank <= max(r.Rank, 0):
 		return g.capacityReason(b.now)
 	default:
 		return proxy.ReasonNone
--- a/internal/delivery/standing.go
+++ b/internal/delivery/standing.go
@@ -81,3 +81,10 @@
 	}
 	return int(perSlot*float64(capacity)) + 1
 }
+
+// DemandWait returns the time in which the demand for this upstream is processed if no more arrives.
+func (g *Gate) DemandWait() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.demandWait(time.Now())
+}
--- a/internal/events/sidecar.go
+++ b/internal/events/sidecar.go
@@ -34,6 +34,8 @@
 	CallRecovered      Code = 540
 	LeaveNoticed       Code = 539
 	UpstreamFailed     Code = 536
+	RunRefused         Code = 545
+	RequestDisplaced   Code = 546
 	CanaryStep         Code = 720
 	CanaryEnded        Code = 721
 	CanaryRecorded     Code = 722
@@ -70,6 +72,8 @@
 	CallServed:         {"call-served", logrus.InfoLevel, "A request was served; the setting served_every determines which fraction of these requests is logged."},
 	CallRecovered:      {"call-recovered", logrus.InfoLevel, "The connection to an owner was lost with a request in flight, and the owner told over another one what became of it after after_ms: its response, or reason never-arrived, with which it has not run and will not."},
 	UpstreamFailed:     {"upstream-failed", logrus.WarnLevel, "An upstream responded with a server error, which was passed to the caller; the logs of the upstream have the cause."},
+	RunRefused:         {"run-refused", logrus.InfoLevel, "A request was refused because the requests that its run would send to the service called would not be served; pressure is the ratio of the demand there to its capacity, and rate the number of runs of the route that this node starts per second."},
+	RequestDisplaced:   {"request-displaced", logrus.InfoLevel, "A queued request gave way to one of the rank by_rank, as the queue was at its bound; it did not run."},
 	CanaryStep:         {"canary-step", logrus.InfoLevel, "The share of the traffic that a new version gets changed; the field reason gives the evidence."},
 	CanaryEnded:        {"canary-ended", logrus.WarnLevel, "A rollout ended; the field outcome says whether it completed or was rolled back, and reason why."},
 	CanaryRecorded:     {"canary-recorded", logrus.InfoLevel, "The outcome of a rollout was recorded in the store."},
