delivery: the slot of a given-up request counts as used

Cause: when a caller left or its time was over, the owner closed the connection and gave the slot to the next request at once, while the upstream went on. Some upstreams then reset the connection of the next request, others never answer it. A restarted owner did not know of the requests of a killed predecessor.

Change: such a slot is free again when the longest time of the work on the route is over (mean and five deviations, at most 3 s). A connection that the upstream closed frees its slot at once. For 500 ms after its start a process counts all slots of an upstream that is older as used. A gauge shows the slots that are held. The stand-in upstream can reset or stay silent when full, and go on with abandoned requests.

--- a/internal/delivery/gate.go
+++ b/internal/delivery/gate.go
@@ -48,6 +48,8 @@
 	closedReason proxy.Reason // why the gate is closed, while open is false
 	slots        int
 	running      int
+	// heldUntil is until when all slots count as used; see predecessorHold.
+	heldUntil time.Time
 	// runningOn counts the running requests by route.
 	runningOn map[string]int
 	// progress is when a request last got or returned a slot.
@@ -105,7 +107,12 @@
 }
 
 // capacity returns the number of requests that may run at the same time.
-func (g *Gate) capacity() int { return g.admission.named.InFlight(g.slots) }
+func (g *Gate) capacity() int {
+	if !g.heldUntil.IsZero() && time.Now().Before(g.heldUntil) {
+		return 0
+	}
+	return g.admission.named.InFlight(g.slots)
+}
 
 // Close refuses queued and new requests for reason.
 func (g *Gate) Close(reason proxy.Reason) {
@@ -230,6 +237,9 @@
 	if g.admission.active(now) && g.running < g.capacity() {
 		wait = min(wait, g.admission.wait(now, 0))
 	}
+	if held := g.heldUntil.Sub(now); held > 0 {
+		wait = min(wait, held)
+	}
 	wait = max(wait, time.Millisecond)
 	if g.timer != nil {
 		g.timer.Reset(wait)
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -107,11 +107,14 @@
 	draining bool
 	up       atomic.Pointer[current]
 	lifetime context.Context
+	// started is when this process started, and givenUp the number of slots of requests that were given up.
+	started time.Time
+	givenUp atomic.Int64
 }
 
 // New returns an Owner without an upstream. ctx ends with the process.
 func New(ctx context.Context, c Config) *Owner {
-	o := &Owner{Config: c, lifetime: ctx}
+	o := &Owner{Config: c, lifetime: ctx, started: time.Now()}
 	o.coldAssumption.begin(time.Now())
 	o.Gate.AwaitLimit()
 	return o
@@ -203,6 +206,7 @@
 	if s := t.Service(up.Service); s != nil {
 		rate = o.Cold.allowed(s.ColdPerSecond)
 	}
+	o.holdForPredecessor(up.Upstream)
 	until := later(up.ColdUntil, o.coldAssumption.until)
 	o.checkAssumption(rate)
 	o.reportCold(up, until, rate, reason)
@@ -262,7 +266,7 @@
 	o.running.add(req)
 	res := o.send(ctx, up, req)
 	o.running.remove(req)
-	o.Gate.Release(req.Route, processingTime(res))
+	o.releaseSlot(req, res)
 	o.setRetryAfter(res)
 	return res
 }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -32,6 +32,7 @@
 	m.set.NewGauge("celerybank_calls_in_flight", func() float64 { return float64(n.ingress.Inflight()) })
 	m.set.NewGauge("celerybank_slots_in_use", func() float64 { return float64(n.gate.Load().InUse) })
 	m.set.NewGauge("celerybank_slots_allowed", func() float64 { return float64(n.gate.Load().Limit) })
+	m.set.NewGauge("celerybank_slots_given_up", func() float64 { return float64(n.owner.GivenUp()) })
 	m.set.NewGauge("celerybank_store_calls_total", func() float64 { return float64(n.follower.StoreCalls()) })
 	m.set.NewGauge("celerybank_members", func() float64 { return float64(n.aliveMembers()) })
 	m.set.NewGauge("celerybank_orders_position", func() float64 { return float64(n.replica.View().Next) })
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -52,6 +52,10 @@
 	MalformedShare float64 `json:"malformed_share"`
 	// Shed refuses every request without running it.
 	Shed bool `json:"shed"`
+	// WhenFull is what happens to a request that arrives while all slots are in use; empty runs it.
+	WhenFull FullBehavior `json:"when_full"`
+	// FinishAbandoned makes requests run to their end, in their slot, after their connection was closed.
+	FinishAbandoned bool `json:"finish_abandoned"`
 }
 
 // Server is one stand-in upstream, with the counters of one process.
@@ -180,6 +184,10 @@
 	}
 	if inFlight > int64(cfg.Slots) {
 		s.overload.Add(1)
+		if cfg.Faults.WhenFull != FullRuns {
+			cfg.Faults.WhenFull.apply(w, r)
+			return
+		}
 	}
 	runs := s.countRun(r.Header.Get("Idempotency-Key"), r.Header.Get(AttemptHeader))
 	if r.Header.Get(CrashHeader) != "" {
@@ -191,9 +199,13 @@
 	if f := cfg.Faults; f.Slow > 0 && hasPrefix(r.URL.Path, f.SlowRoute) {
 		work += f.Slow
 	}
+	abandoned := r.Context().Done()
+	if cfg.Faults.FinishAbandoned {
+		abandoned = nil
+	}
 	select {
 	case <-time.After(work):
-	case <-r.Context().Done():
+	case <-abandoned:
 		return
 	}
 	s.writeResponse(w, r, cfg, inFlight, runs, body)
