--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -114,60 +114,9 @@
 	return nil
 }
 
-// dictionary returns the indices with which a message is encoded, nil if the peer reads none. Strings that repeat are
-// defined unless the peer is in the same zone, where bytes cost less than the work.
-func (c *codec) dictionary(body any) map[string]int {
-	indices := c.written.indices.Load()
-	if indices == nil {
-		return nil
-	}
-	if r, ok := body.(Repeater); ok && c.meter.linkNow() != LinkSameZone {
-		c.written.learn(r, func(m *Define) error { return c.write(header{Method: defineMethod, Seq: notifySeq}, m) })
-		indices = c.written.indices.Load()
-	}
-	return *indices
-}
-
 // errPartialWrite reports a partially written frame, which the peer never decodes.
 var errPartialWrite = errors.New("frame only partially written")
 
-// frameBuffer is an io.Writer that appends to a reusable slice.
-type frameBuffer struct{ b []byte }
-
-func (f *frameBuffer) Write(p []byte) (int, error) { f.b = append(f.b, p...); return len(p), nil }
-
-// encode replaces the contents of the buffer by a frame. It returns errEncode or ErrTooLarge.
-func (f *frameBuffer) encode(h *header, body any, dict map[string]int) error {
-	enc := msgpack.GetEncoder()
-	defer msgpack.PutEncoder(enc)
-	f.b = append(f.b[:0], 0, 0, 0, 0)
-	enc.ResetDict(f, dict)
-	enc.UseCompactInts(true)
-	if err := enc.Encode(h); err != nil {
-		return errors.Wrap(errEncode, err.Error())
-	}
-	if err := enc.Encode(body); err != nil {
-		return errors.Wrap(errEncode, err.Error())
-	}
-	n := len(f.b) - frameHeaderSize
-	if n > MaxFrame {
-		f.b = nil
-		return ErrTooLarge
-	}
-	binary.BigEndian.PutUint32(f.b, uint32(n))
-	return nil
-}
-
-// release returns the buffer to the pool, without its memory if a large message has grown it.
-func (f *frameBuffer) release() {
-	if cap(f.b) > maxRetainedBuffer {
-		f.b = nil
-	}
-	frameBuffers.Put(f)
-}
-
-var frameBuffers = sync.Pool{New: func() any { return new(frameBuffer) }}
-
 // readHeader reads the next frame completely and decodes its header. It applies definitions of strings before it.
 func (c *codec) readHeader() (h header, err error) {
 	for {
--- a/internal/peer/dictionary.go
+++ b/internal/peer/dictionary.go
@@ -62,6 +62,20 @@
 	d.indices.CompareAndSwap(nil, commonIndices(min(n, len(commonStrings))))
 }
 
+// dictionary returns the indices with which a message is encoded, nil if the peer reads none. Strings that repeat are
+// defined unless the peer is in the same zone, where bytes cost less than the work.
+func (c *codec) dictionary(body any) map[string]int {
+	indices := c.written.indices.Load()
+	if indices == nil {
+		return nil
+	}
+	if r, ok := body.(Repeater); ok && c.meter.linkNow() != LinkSameZone {
+		c.written.learn(r, func(m *Define) error { return c.write(header{Method: defineMethod, Seq: notifySeq}, m) })
+		indices = c.written.indices.Load()
+	}
+	return *indices
+}
+
 // commonIndexCache has the map of the first n of commonStrings by n.
 var commonIndexCache sync.Map
 
