--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -114,11 +114,14 @@
 	draining bool
 	up       atomic.Pointer[current]
 	lifetime context.Context
+	// started is when this process started, and givenUp the number of slots of requests that were given up.
+	started time.Time
+	givenUp atomic.Int64
 }
 
 // New returns an Owner without an upstream. ctx ends with the process.
 func New(ctx context.Context, c Config) *Owner {
-	o := &Owner{Config: c, lifetime: ctx}
+	o := &Owner{Config: c, lifetime: ctx, started: time.Now()}
 	o.coldAssumption.begin(time.Now())
 	o.Gate.AwaitLimit()
 	return o
@@ -210,6 +213,7 @@
 	if s := t.Service(up.Service); s != nil {
 		rate = o.Cold.allowed(s.ColdPerSecond)
 	}
+	o.holdForPredecessor(up.Upstream)
 	until := later(up.ColdUntil, o.coldAssumption.until)
 	o.checkAssumption(rate)
 	o.reportCold(up, until, rate, reason)
@@ -281,9 +285,8 @@
 	res := o.send(ctx, up, req)
 	o.abandoned.add(req, res) // before remove, so that children find the request in one of them
 	o.running.remove(req)
-	took := processingTime(res)
-	o.Gate.Release(req.Route, took)
-	o.trees.Ended(req.Route, took)
+	o.releaseSlot(req, res)
+	o.trees.Ended(req.Route, processingTime(res))
 	o.setRetryAfter(res)
 	return res
 }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -36,6 +36,7 @@
 	m.set.NewGauge("celerybank_routes_limited", func() float64 { return float64(n.owner.LimitedRoutes()) })
 	m.set.NewGauge("celerybank_runs_refused_total", func() float64 { return float64(n.owner.DependencyFull()) })
 	m.set.NewGauge("celerybank_requests_displaced_total", func() float64 { return float64(n.owner.Displaced()) })
+	m.set.NewGauge("celerybank_slots_given_up", func() float64 { return float64(n.owner.GivenUp()) })
 	m.set.NewGauge("celerybank_store_calls_total", func() float64 { return float64(n.follower.StoreCalls()) })
 	m.set.NewGauge("celerybank_members", func() float64 { return float64(n.aliveMembers()) })
 	m.set.NewGauge("celerybank_orders_position", func() float64 { return float64(n.replica.View().Next) })
