Usage report: test of a holder that reaches the API only

Change: a holder with a backlog is cut off from the store and all nodes, but not from the API. The fleet of the tests adds a process only when it is complete: the race detector reported its fields.

--- a/internal/usage/ends_test.go
+++ b/internal/usage/ends_test.go
@@ -118,3 +118,10 @@
 	}
 	return st.end, nil
 }
+
+// appends returns the number of appends so far.
+func (f *fleet) appends() int {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return f.store.appends
+}
--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -93,7 +93,6 @@
 	}
 	n := &fakeNode{fleet: f, addr: addr, zone: zone, started: time.Now(), process: f.rng.Uint64() | 1}
 	n.ctx, n.kill = context.WithCancel(f.ctx)
-	f.nodes = append(f.nodes, n)
 	f.mu.Unlock()
 	rec := events.New(addr, zone, nil)
 	rec.Subscribe(func(e events.Event) {
@@ -108,6 +107,9 @@
 	synced := make(chan struct{})
 	n.reporter = NewReporter(c, zone, n.process, n.collector, synced)
 	n.service = NewService(n.counter, n.collector)
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
 	f.tasks.Go(func() { _ = n.collector.Run(n.ctx) })
 	f.tasks.Go(func() { _ = n.reporter.Run(n.ctx) })
 	f.tasks.Go(func() {
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -324,3 +324,46 @@
 		f.cutZone(zone, false)
 	}
 }
+
+// The holder has a backlog to send when it is cut off from the store and from all nodes, but not from the API. It must stop before its
+// successor begins: with a successor that does not wait for the lease, or a holder that does not end with it, the API gets a lower
+// generation after a higher one.
+func TestHolderThatOnlyReachesTheAPIStopsInTime(t *testing.T) {
+	holderCalls := 0
+	for seed := range uint64(6) {
+		inFleet(t, func(t *testing.T) {
+			f := newFleet(t, seed, 12, 3)
+			time.Sleep(6 * time.Second)
+			f.tasks.Go(func() { f.load(60, 50*time.Second) })
+			time.Sleep(8 * time.Second)
+			f.setFault(ErrAnswered, runTime)
+			time.Sleep(40 * time.Second)
+			n := f.holder()
+			for appends := f.appends(); f.appends() == appends; {
+				time.Sleep(time.Millisecond)
+			}
+			from := len(f.api.Calls())
+			f.setFault(nil, 700*time.Millisecond)
+			f.setCut(n.addr, "store", true)
+			for _, m := range f.unique() {
+				if m != n {
+					f.setCut(m.addr, n.addr, true)
+				}
+			}
+			time.Sleep(40 * time.Second)
+			f.finish(1, func(int64) bool { return true }) // the order of the calls is what is checked
+			senders := map[string]int{}
+			for _, c := range f.api.Calls()[from:] {
+				senders[c.Host]++
+			}
+			holderCalls += senders[n.addr] // none where the backoff outlasts the lease
+			delete(senders, n.addr)
+			if len(senders) == 0 {
+				t.Errorf("seed %d: no other node called the API", seed)
+			}
+		})
+	}
+	if holderCalls == 0 {
+		t.Error("the holder made no call after it was cut off: the test checks nothing")
+	}
+}
