Usage report: a holder that loses sight of most hosts releases the duty

Cause: a holder that was cut off from all nodes, but not from the store, went on writing windows with the counts of its own host only; a successor found them closed. Cut off for 30 s, it also took the duty back while the others held it. Change: the record has the number of hosts of the last collection; a holder that sees less than half of them releases without writing the window, and a candidate that sees less than half waits as long as a living holder may be silent.

--- a/internal/usage/collect.go
+++ b/internal/usage/collect.go
@@ -47,6 +47,10 @@
 		r.retryCollect = now + collectRetry
 		return
 	}
+	if r.isolated(got.hosts) {
+		r.release(ctx)
+		return
+	}
 	if len(got.missing) > 0 {
 		r.counts.incomplete.Add(1)
 		r.Events.Emit(events.UsageIncomplete, events.Fields{"window": due[0], "windows": len(due), "missing": len(got.missing), "first": got.missing[0], "hosts": got.hosts})
@@ -60,6 +64,17 @@
 	r.next = due[len(due)-1] + 1
 }
 
+// isolated reports whether this node has lost sight of most hosts. Another node may see them, and must not find the windows closed; if
+// none does, the next holder accepts what it sees.
+func (r *Reporter) isolated(hosts int) bool {
+	if 2*hosts < r.rec.Hosts {
+		r.rec.Hosts = 0
+		return true
+	}
+	r.rec.Hosts = hosts
+	return false
+}
+
 // learnTime asks the collectors for the hosts' clocks, and sets the first window to collect: the oldest of which counts are held
 // and that no earlier holder has reported.
 func (r *Reporter) learnTime(ctx context.Context) {
--- a/internal/usage/record.go
+++ b/internal/usage/record.go
@@ -28,6 +28,8 @@
 	Reports []Report `msgpack:"c,omitempty"`
 	// Yields counts the holders in a row that gave up because they could not reach the API.
 	Yields int `msgpack:"y,omitempty"`
+	// Hosts is the number of live hosts at the last collection, 0 if the next holder is to accept any number.
+	Hosts int `msgpack:"n,omitempty"`
 }
 
 // maxFormer is the number of earlier holders that a record names.
--- a/internal/usage/standby.go
+++ b/internal/usage/standby.go
@@ -47,6 +47,9 @@
 	if !r.candidate {
 		r.observe(ctx)
 	}
+	if 2*len(members) < r.rec.Hosts {
+		wait = max(wait, r.Window+r.Window/2) // this node may be cut off from a holder that writes once a window
+	}
 	if r.candidate && (r.rec.mayFollow(r.Addr) || r.Clock.Boot() >= r.seen+wait) {
 		r.takeOver(ctx)
 	}
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -79,6 +79,25 @@
 		f.setCut(n.addr, "api", false)
 		return within(from.Add(-testWindow), from.Add(20*time.Second))
 	},
+	"the holder cannot reach other nodes": func(f *fleet) func(int64) bool {
+		n, from := f.holder(), time.Now()
+		for _, m := range f.unique() {
+			if m != n {
+				f.setCut(m.addr, n.addr, true)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		accepted := f.api.Accepted()
+		for k := window(time.Duration(from.UnixNano()), testWindow); k < window(time.Duration(time.Now().UnixNano()), testWindow)-2; k++ {
+			if end := time.Unix(0, int64(testWindow)*(k+1)); accepted[k].At.IsZero() || accepted[k].At.Sub(end) > testDelay {
+				f.t.Errorf("window %d was not reported in time by the other nodes", k)
+			}
+		}
+		for _, m := range f.unique() {
+			f.setCut(m.addr, n.addr, false)
+		}
+		return within(from.Add(-testWindow), time.Now()) // without the counts of the host that was cut off
+	},
 	"the store is unavailable": func(f *fleet) func(int64) bool {
 		from := time.Now()
 		f.setLoss(1)
