Usage report: a fleet that starts does not wait 10 s for facts that nobody has

Cause: where all nodes start together, gossip.Members.FactsSynced closes after its grace time of 10 s only; the first holder was found after that. In the tests the facts of a fleet that has just started are never delivered.

--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -113,16 +113,15 @@
 	f.tasks.Go(func() { _ = n.collector.Run(n.ctx) })
 	f.tasks.Go(func() { _ = n.reporter.Run(n.ctx) })
 	f.tasks.Go(func() {
-		if duration.Sleep(n.ctx, 500*time.Millisecond) {
-			n.learnFacts()
+		if duration.Sleep(n.ctx, 500*time.Millisecond) && n.learnFacts() {
+			close(synced) // stays open while all nodes have just started
 		}
-		close(synced)
 	})
 	return n
 }
 
-// learnFacts takes the fact that other nodes have.
-func (n *fakeNode) learnFacts() {
+// learnFacts takes the fact that other nodes have, and reports whether there is one.
+func (n *fakeNode) learnFacts() bool {
 	n.fleet.mu.Lock()
 	var newest gossip.Fact
 	for _, other := range n.fleet.nodes {
@@ -132,6 +131,7 @@
 	}
 	n.fleet.mu.Unlock()
 	n.deliver(newest)
+	return newest.Seq > 0
 }
 
 func (n *fakeNode) deliver(fact gossip.Fact) {
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -92,8 +92,12 @@
 // Run does the duty or waits to take it over, until ctx ends or Stop is called.
 func (r *Reporter) Run(ctx context.Context) error {
 	defer close(r.stopped)
+	// Where all nodes start together there is no fact to wait for, and the membership says so only after 10 s.
+	unsynced := time.NewTimer(startDelay)
+	defer unsynced.Stop()
 	select {
 	case <-r.synced:
+	case <-unsynced.C:
 	case <-ctx.Done():
 		return nil
 	}
