delivery: guard the results of the displacement test

The test of displaced requests appended to a slice from several goroutines when the gate closed; the race detector reported it. Owner.Parent moves to the other functions about children.

--- a/internal/delivery/children.go
+++ b/internal/delivery/children.go
@@ -10,6 +10,17 @@
 	"celerybank/internal/verdict"
 )
 
+// Parent reports whether the request with this ID is a child request, sent by the upstream of this host
+// for a request that it is running, and whether that parent is a retry. Upstreams prefix the ID of a
+// child request with that of its parent and a dot.
+func (o *Owner) Parent(id string) (found, retry bool) {
+	i := strings.LastIndexByte(id, '.')
+	if i <= 0 {
+		return false, false
+	}
+	return o.running.find(id[:i])
+}
+
 // ParentOf returns the route of the request that this host's upstream is running and for which it sends the request with
 // this ID, and the rank of the request that began their call tree.
 func (o *Owner) ParentOf(id string) (route string, rootRank int, ok bool) {
--- a/internal/delivery/displace_test.go
+++ b/internal/delivery/displace_test.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,10 +31,13 @@
 				g.Acquire(t.Context(), slotRequest(0, time.Minute))
 			}
 			bound := shortQueue(SlotRequest{Rank: c.queued}, 4)
+			var mu sync.Mutex
 			var refused []Refusal
 			for range bound {
 				go func() {
 					if r, ok := g.Acquire(t.Context(), slotRequest(c.queued, time.Minute)); !ok {
+						mu.Lock()
+						defer mu.Unlock()
 						refused = append(refused, r)
 					}
 				}()
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -299,17 +298,6 @@
 	return res.ProcessingTime
 }
 
-// Parent reports whether the request with this ID is a child request, sent by the upstream of this host
-// for a request that it is running, and whether that parent is a retry. Upstreams prefix the ID of a
-// child request with that of its parent and a dot.
-func (o *Owner) Parent(id string) (found, retry bool) {
-	i := strings.LastIndexByte(id, '.')
-	if i <= 0 {
-		return false, false
-	}
-	return o.running.find(id[:i])
-}
-
 // send sends a request to the upstream. No other function sends requests of callers.
 func (o *Owner) send(ctx context.Context, up *current, req *proxy.Request) *proxy.Response {
 	hr, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
