--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -309,7 +309,7 @@
 func (o *Owner) send(ctx context.Context, up *current, req *proxy.Request) *proxy.Response {
 	hr, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(hr)
-	defer fasthttp.ReleaseResponse(resp)
+	defer releaseResponse(resp)
 	left := req.Timeout
 	if d, ok := ctx.Deadline(); ok {
 		left = time.Until(d)
@@ -320,7 +320,7 @@
 	}
 	ctx, run := o.countRun(ctx, req)
 	start := time.Now()
-	v, err := up.client.Do(ctx, hr, resp)
+	v, held, err := up.client.DoHeld(ctx, hr, resp)
 	took := time.Since(start)
 	if err != nil {
 		return o.handleError(ctx, up, req, run.settle(v), err, took)
@@ -330,6 +330,7 @@
 	res, corrupt := o.Wire.Response(resp, req, v)
 	res.ProcessingTime = took
 	run.settle(res.Verdict)
+	holdBody(res, held)
 	if corrupt {
 		o.Events.Emit(events.CallFailed, events.Fields{"request": req.RequestID, "instance": up.Instance, "reason": proxy.ReasonInvalidResponse, "status": res.Status})
 		res = proxy.Refusal(verdict.MayHaveRun, proxy.ReasonInvalidResponse)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -113,7 +113,7 @@
 	frames := newCodec(idleConn{c}, s.events.Clock(), s.memory, s.traffic)
 	frames.meter = s.meter.conn(c.RemoteAddr().String(), true)
 	s.rpc.ServeCodec(serverCodec{codec: frames, onMalformed: malformed,
-		calls: &s.calls, running: &callMemory{}, memory: s.memory, process: s.process, notified: s.notified})
+		calls: &s.calls, running: &callMemory{}, process: s.process, notified: s.notified})
 }
 
 // acceptRetryDelay is the delay after a failed accept.
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"celerybank/internal/membudget"
 	"celerybank/internal/ratelimit"
 	"celerybank/internal/verdict"
 )
@@ -122,6 +123,8 @@
 	ReasonUnconfirmed Reason = "configuration-unconfirmed"
 	// ReasonDependencyFull means that a service that the upstream calls for such requests has no capacity for more.
 	ReasonDependencyFull Reason = "dependency-full"
+	// ReasonNoMemory means that the messages of other requests fill the memory of a node.
+	ReasonNoMemory Reason = "no-memory"
 )
 
 // ReasonHeader is the response header with the reason for a refusal or failure.
@@ -155,6 +158,9 @@
 	// Recovered means that the owner told this over another connection after the first was lost. It is set
 	// by the entry node.
 	Recovered bool `msgpack:"-"`
+
+	// held is the memory of the body on this node, nil if it needs none of the budget.
+	held *membudget.Holder
 }
 
 // RatioScale is the scale of the ratios in a Load: they are sent as thousandths.
