--- a/cmd/celerysidecar/main.go
+++ b/cmd/celerysidecar/main.go
@@ -37,17 +37,27 @@
 	app.Flag("log-lines", "Maximum log lines per second for each event.").Default(strconv.Itoa(events.LinesPerSecond)).IntVar(&limits.LinesPerSecond)
 	app.Flag("log-served", "Log one of every N requests that succeed; 0 logs none.").Default("0").IntVar(&limits.ServedEvery)
 	bind := app.Flag("bind-peers", "IP:port to listen on for peers, if a port forwarder handles the address that they connect to.").String()
+	admitByChildren := app.Flag("admit-by-children", "Refuse requests whose child requests would find no room in the services that they call.").Bool()
 	check := app.Flag("check", "Check the settings file and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	command.Exit("celerysidecar", run(*path, *bind, limits, *check))
+	command.Exit("celerysidecar", run(*path, options{*bind, limits, *admitByChildren, *check}))
 }
 
-func run(path, bind string, limits events.Limits, checkOnly bool) error {
+// options are the flags of the program.
+type options struct {
+	bind            string
+	limits          events.Limits
+	admitByChildren bool
+	checkOnly       bool
+}
+
+func run(path string, o options) error {
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
-	if checkOnly {
+	s.AdmitByChildren = o.admitByChildren
+	if o.checkOnly {
 		fmt.Printf("%s: ok: %s\n", path, s)
 		return nil
 	}
@@ -58,13 +68,13 @@
 	logger, flush := command.NewLog()
 	defer flush()
 	ev := events.New(s.Name, s.Zone, logger)
-	ev.SetLimits(limits)
+	ev.SetLimits(o.limits)
 	var network peer.TCP
 	if ap, err := netip.ParseAddrPort(s.Peers); err == nil {
 		network.SourceIP = ap.Addr().AsSlice()
 	}
-	if bind != "" {
-		network.Bind = map[string]string{s.Peers: bind}
+	if o.bind != "" {
+		network.Bind = map[string]string{s.Peers: o.bind}
 	}
 	stop, _ := command.Signals()
 	n := sidecar.New(stop, s, network, ev)
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,6 +28,7 @@
 type group struct {
 	endpoints atomic.Pointer[endpoints]
 	meanTimes sync.Map // route to *movingAverage
+	rooms     sync.Map // availability zone to *room
 	borrowing borrowing
 }
 
@@ -96,6 +97,7 @@
 		return
 	}
 	e := NewEndpoint(m.Addr, m.Zone, u.Service, u.Version, u.Instance, u.Slots, u.Since)
+	e.room = b.group(u.Service).room(m.Zone)
 	b.recall(e)
 	b.byAddr[m.Addr] = e
 	b.change(u.Service, func(list []*Endpoint) []*Endpoint { return append(list, e) })
@@ -153,9 +155,13 @@
 
 // The cost of a choice is the expected time to the response, plus what follows in processing times of the route.
 const (
-	// crossZoneCost is added for an upstream in another zone: traffic between zones is expensive, and a zone that
-	// is cut off must not depend on others. An upstream elsewhere has to save half of the processing time.
-	crossZoneCost = 0.5
+	// crossZoneCost is added for an upstream in another zone: traffic between zones is expensive, a zone that is cut off
+	// must not depend on others, and in an overload of all zones a crossing serves nobody more. Differences in speed
+	// between upstreams are below it, the wait in a zone that has no room is above.
+	crossZoneCost = 1.5
+	// crossZoneCostRefused replaces crossZoneCost once an upstream in the own zone had no room for the request: another zone
+	// may have some.
+	crossZoneCostRefused = 1.0
 	// utilizationCost is added for an upstream whose slots are all in use, and grows linearly from
 	// utilizationStart: it may be full when the request arrives, which then waits, and upstreams slow down under
 	// load.
@@ -228,7 +234,7 @@
 func (b *Balancer) candidate(e *Endpoint, s state, mean time.Duration, c Criteria) candidate {
 	transit, extra, busy := s.transit, jitterCost*b.Random(), 0.0
 	if e.Zone != b.zone {
-		extra += crossZoneCost
+		extra += crossingCost(c)
 		transit = max(transit, minCrossZoneTransit)
 	}
 	if s.utilization > utilizationStart {
@@ -245,3 +251,11 @@
 	}
 	return candidate{endpoint: e, state: s, cost: cost(s.wait, extra+busy), quality: cost(0, extra)}
 }
+
+// crossingCost returns the cost of leaving the zone, in processing times.
+func crossingCost(c Criteria) float64 {
+	if len(c.Tried) > 0 {
+		return crossZoneCostRefused
+	}
+	return crossZoneCost
+}
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -21,6 +21,9 @@
 	// Since is when the upstream joined, in Unix milliseconds.
 	Since int64
 
+	// room is the load of the upstreams of the service in the zone.
+	room *room
+
 	mu       sync.Mutex
 	inflight int
 	// inUse, limit and meanTime are the load last reported by the owner, received at reported. meanTime
@@ -63,8 +66,8 @@
 	// estimateHalfLife is the half-life of the failure ratio and the transit time without responses,
 	// so that an upstream that has recovered is tried again.
 	estimateHalfLife = 4 * time.Second
-	// loadFresh is how long a reported load counts in full. After it, the load is assumed to drain
-	// by the reported limit in each mean processing time.
+	// loadFresh is how long a reported load counts in full. After it, the load is assumed to approach that
+	// of the other upstreams in the zone, with the same half-life.
 	loadFresh = 300 * time.Millisecond
 	// initialBackoff is the back-off after a failure to reach an upstream. It doubles with each
 	// consecutive failure, at most maxBackoffDoublings times.
@@ -77,7 +80,7 @@
 // NewEndpoint returns an Endpoint of which only the announcement is known.
 func NewEndpoint(addr, zone, service, version, instance string, slots int, since int64) *Endpoint {
 	return &Endpoint{Addr: addr, Zone: zone, Service: service, Version: version, Instance: instance, Slots: slots, Since: since,
-		limit: slots, slowness: 1}
+		limit: slots, slowness: 1, room: &room{}}
 }
 
 // Begin counts a request to e as in flight until End.
@@ -104,6 +107,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.inUse, e.limit, e.meanTime, e.reported, e.inflightReported = l.InUse, l.Limit, l.MeanTime, now, max(0, e.inflight-1) // without the one that reports
+	e.room.observe(float64(l.InUse)/float64(l.Limit), now)
 	e.heard.Record(l.RateLimit, now)
 	if l.Slowness <= 0 {
 		return false
@@ -225,8 +229,9 @@
 	defer e.mu.Unlock()
 	e.decay(now)
 	inUse := float64(e.inUse)
-	if old := now.Sub(e.reported) - loadFresh; old > 0 && e.meanTime > 0 {
-		inUse -= float64(old) / float64(e.meanTime) * float64(e.limit)
+	if old := now.Sub(e.reported) - loadFresh; old > 0 {
+		fresh := math.Exp2(-float64(old) / float64(loadFresh))
+		inUse = fresh*inUse + (1-fresh)*e.room.current(now)*float64(e.limit)
 	}
 	inUse = max(inUse, float64(e.inflight))
 	s := state{slowness: e.slowness, failureRatio: e.failureRatio, transit: e.decayedTransit(now), utilization: inUse / float64(e.limit), avoided: e.suspect || now.Before(e.avoidUntil), leaving: e.leaving}
--- a/internal/delivery/children.go
+++ b/internal/delivery/children.go
@@ -36,7 +36,7 @@
 
 // admitRun decides whether the children of a request that is no child itself can be served.
 func (o *Owner) admitRun(req *proxy.Request) calltree.Admission {
-	if _, child := proxy.RootRank(req.Rank); child {
+	if _, child := proxy.RootRank(req.Rank); child || !o.AdmitByChildren {
 		return calltree.Admission{OK: true}
 	}
 	return o.trees.Admit(req.Route, time.Now())
@@ -44,7 +44,7 @@
 
 // startRun decides anew once the request has a slot.
 func (o *Owner) startRun(req *proxy.Request, a calltree.Admission) calltree.Admission {
-	if _, child := proxy.RootRank(req.Rank); child {
+	if _, child := proxy.RootRank(req.Rank); child || !o.AdmitByChildren {
 		return a
 	}
 	return o.trees.Start(req.Route, a, time.Now())
--- a/internal/delivery/children_test.go
+++ b/internal/delivery/children_test.go
@@ -16,6 +16,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 0)
 		defer f.stop()
+		f.owner.AdmitByChildren = true
 		time.Sleep(2 * assumeColdLimit)
 		handle := func(rank int) *proxy.Response {
 			return f.owner.Handle(t.Context(), &proxy.Request{Service: "stock", Route: "lookup", Rank: rank, Timeout: time.Second, WaitToDeadline: true})
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -89,6 +89,8 @@
 	ResponseMemory *membudget.Budget
 	// MeanProcessingTime returns the mean processing time on a route of a service, 0 when unknown.
 	MeanProcessingTime func(service, route string) time.Duration
+	// AdmitByChildren refuses requests whose children would find no room in the services that they call.
+	AdmitByChildren bool
 	// Usage counts the requests that the upstream begins to run; nil if they are not counted.
 	Usage UsageCounter
 }
--- a/internal/dispatch/children.go
+++ b/internal/dispatch/children.go
@@ -46,22 +46,24 @@
 
 // recordChild reports what became of a child request.
 func (d *Dispatcher) recordChild(st *requestState, res *proxy.Response) {
-	if st.parent == nil || !tellsCapacity(res) {
+	if st.parent == nil {
 		return
 	}
-	d.Parents.RecordChild(st.parent.route, calltree.Child{Service: st.req.Service, Failed: res.Reason != proxy.ReasonNone,
-		Pressure: float64(res.Pressure) / proxy.RatioScale})
+	failed := lacksRoom(res)
+	if failed || res.Pressure > 0 {
+		d.Parents.RecordChild(st.parent.route, calltree.Child{Service: st.req.Service, Failed: failed,
+			Pressure: float64(res.Pressure) / proxy.RatioScale})
+	}
 }
 
-// tellsCapacity reports whether the outcome of a child says something about the capacity of the called service: it was
-// served, refused, or not answered in its time. Fewer parents do not help against other failures.
-func tellsCapacity(res *proxy.Response) bool {
+// lacksRoom reports whether a child was refused because the called service has no room for it. Other failures, as of an
+// upstream that rejects or loses a share of its requests, do not become fewer with fewer parents: counted here, they would
+// stop the runs of the route one after the other.
+func lacksRoom(res *proxy.Response) bool {
 	switch res.Reason {
-	case proxy.ReasonNone, proxy.ReasonDeadline:
-		return true
-	case proxy.ReasonCancelled, proxy.ReasonCrashing, proxy.ReasonBadRequest, proxy.ReasonTooDeep, proxy.ReasonUnknownService:
-		return false
-	default:
+	case proxy.ReasonFull, proxy.ReasonTooLate, proxy.ReasonRateLimited, proxy.ReasonDependencyFull:
 		return res.Verdict == verdict.NotRun
+	default:
+		return false
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -306,7 +306,6 @@
 		failed := res.Status >= fasthttp.StatusInternalServerError
 		if !failed {
 			d.Balancer.RecordProcessingTime(r.Service, r.Route, res.ProcessingTime)
-			e.RecordSpeed(r.Route, res.ProcessingTime, mean, now)
 		}
 		if e.ResetFailures(); !hasStats {
 			e.RecordOutcome(res.ProcessingTime, mean, failed, now)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -105,6 +105,7 @@
 		Crashes: n.crashes, Observer: n.rollouts, Leaving: n.upstreamLeaves, Events: ev, Cold: delivery.ColdBound{Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack},
 		MeanProcessingTime: n.balancer.MeanProcessingTime,
 		Usage:              n.usage.counterOrNil(),
+		AdmitByChildren:    s.AdmitByChildren,
 		ResponseMemory:     n.memory.read})
 	n.departures = departure.New(s.Peers, n.members, ev)
 	n.registry = registry.New(s.Service, s.Upstream, s.AnnounceInterval, n.departures, ev, n.upstreamChanged)
