--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -156,11 +156,10 @@
 // The cost of a choice is the expected time to the response, plus what follows in processing times of the route.
 const (
 	// crossZoneCost is added for an upstream in another zone: traffic between zones is expensive, a zone that is cut off
-	// must not depend on others, and in an overload of all zones a crossing serves nobody more. Differences in speed
+	// must not depend on others, and in an overload of all zones a crossing serves nobody more. Usual differences in speed
 	// between upstreams are below it, the wait in a zone that has no room is above.
 	crossZoneCost = 1.5
-	// crossZoneCostRefused replaces crossZoneCost once an upstream in the own zone had no room for the request: another zone
-	// may have some.
+	// crossZoneCostRefused replaces crossZoneCost once an upstream had no room for the request: another zone may have some.
 	crossZoneCostRefused = 1.0
 	// utilizationCost is added for an upstream whose slots are all in use, and grows linearly from
 	// utilizationStart: it may be full when the request arrives, which then waits, and upstreams slow down under
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -233,6 +233,7 @@
 		fresh := math.Exp2(-float64(old) / float64(loadFresh))
 		inUse = fresh*inUse + (1-fresh)*e.room.current(now)*float64(e.limit)
 	}
+
 	inUse = max(inUse, float64(e.inflight))
 	s := state{slowness: e.slowness, failureRatio: e.failureRatio, transit: e.decayedTransit(now), utilization: inUse / float64(e.limit), avoided: e.suspect || now.Before(e.avoidUntil), leaving: e.leaving}
 	if over := inUse + 1 - float64(e.limit); over > 0 {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -11,10 +11,11 @@
 // an overload of all zones a crossing serves nobody more, so the request waits at home.
 
 // maxScannedHome and maxScannedFar are the numbers of upstreams in the own zone and in others that one choice considers
-// at most.
+// at most. While one in the own zone has a free slot, maxCompared others show whether the own zone is much slower.
 const (
 	maxScannedHome = 48
 	maxScannedFar  = 48
+	maxCompared    = 8
 )
 
 // survey is what one choice has found.
@@ -45,50 +46,57 @@
 	all := g.endpoints.Load()
 	var s survey
 	b.surveyHome(&s, all.home, mean, c, now)
-	b.surveyFar(&s, all.far, mean, c, now)
+	limit := maxScannedFar
+	if s.hasRoom() {
+		limit = maxCompared
+	}
+	b.surveyFar(&s, all.far, limit, mean, c, now)
 	return b.decide(&s, g, c, now)
 }
 
-// scan calls f with up to limit of the endpoints, from a random one on, that the request may be sent to.
-func scan(list []*Endpoint, limit int, c *Criteria, f func(*Endpoint)) (tried bool) {
+// hasRoom reports whether an upstream in the own zone has a free slot.
+func (s *survey) hasRoom() bool {
+	return s.home.endpoint != nil && !s.home.state.avoided && s.home.state.wait == 0
+}
+
+// scan calls f with up to limit of the endpoints, from a random one on, that the request may be sent to; tried is set for
+// those that have refused it.
+func scan(list []*Endpoint, limit int, c *Criteria, f func(e *Endpoint, tried bool)) {
 	start := 0
 	if len(list) > limit {
 		start = rand.IntN(len(list))
 	}
 	for i := range min(len(list), limit) {
 		e := list[(start+i)%len(list)]
-		if slices.Contains(c.Tried, e) {
-			tried = true
-			continue
-		}
 		if c.Eligible == nil || c.Eligible(e) {
-			f(e)
+			f(e, slices.Contains(c.Tried, e))
 		}
 	}
-	return tried
 }
 
 func (b *Balancer) surveyHome(s *survey, list []*Endpoint, mean time.Duration, c Criteria, now time.Time) {
-	s.tried = scan(list, maxScannedHome, &c, func(e *Endpoint) {
+	scan(list, maxScannedHome, &c, func(e *Endpoint, tried bool) {
 		st := e.stateFor(c.Route, now)
 		if st.leaving {
 			return
 		}
 		x := b.candidate(e, st, mean, c)
-		if s.home.endpoint == nil || x.quality < s.homeQuality {
+		if s.homeQuality == 0 || x.quality < s.homeQuality {
 			s.homeQuality = x.quality
 		}
-		s.home, s.second = rank(x, s.home, s.second)
+		if s.tried = s.tried || tried; !tried {
+			s.home, s.second = rank(x, s.home, s.second)
+		}
 	})
 }
 
-func (b *Balancer) surveyFar(s *survey, list []*Endpoint, mean time.Duration, c Criteria, now time.Time) {
+func (b *Balancer) surveyFar(s *survey, list []*Endpoint, limit int, mean time.Duration, c Criteria, now time.Time) {
 	if len(list) == 0 {
 		return
 	}
 	cut := b.zones.listUnreachable(now)
-	scan(list, maxScannedFar, &c, func(e *Endpoint) {
-		if slices.Contains(cut, e.Zone) {
+	scan(list, limit, &c, func(e *Endpoint, tried bool) {
+		if tried || slices.Contains(cut, e.Zone) {
 			return
 		}
 		st := e.stateFor(c.Route, now)
@@ -131,7 +139,7 @@
 		return far.choice(s.farSecond, c.Pipelined) // no upstream of the service in the own zone
 	}
 	usable := home.endpoint != nil && !home.state.avoided
-	if usable && home.state.wait == 0 {
+	if s.hasRoom() {
 		if far.endpoint != nil && !far.state.avoided && far.state.wait == 0 && far.quality < s.homeQuality {
 			return far.choice(home, c.Pipelined) // all upstreams at home are much slower, or fail
 		}
--- a/internal/balance/zones.go
+++ b/internal/balance/zones.go
@@ -67,13 +67,6 @@
 	return s != nil && now.Before(s.unreachableUntil)
 }
 
-func (z *zones) unreachable(zone string, now time.Time) bool {
-	z.mu.Lock()
-	defer z.mu.Unlock()
-	s := z.state[zone]
-	return s != nil && now.Before(s.unreachableUntil)
-}
-
 // listUnreachable returns the unreachable zones.
 func (z *zones) listUnreachable(now time.Time) (out []string) {
 	z.mu.Lock()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -306,6 +306,7 @@
 		failed := res.Status >= fasthttp.StatusInternalServerError
 		if !failed {
 			d.Balancer.RecordProcessingTime(r.Service, r.Route, res.ProcessingTime)
+			e.RecordSpeed(r.Route, res.ProcessingTime, mean, now)
 		}
 		if e.ResetFailures(); !hasStats {
 			e.RecordOutcome(res.ProcessingTime, mean, failed, now)
