--- a/internal/soak/keys.go
+++ b/internal/soak/keys.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"celerybank/internal/duration"
+	"celerybank/platform"
 	"celerybank/platform/counterpart"
 )
 
@@ -93,18 +94,18 @@
 	below := func(share int) bool { n -= share; return n < 0 }
 	switch {
 	case below(validKeys):
-		return "X-Api-Key", []string{valid}
+		return platform.HeaderKey, []string{valid}
 	case below(removedKeys) && len(k.removed) > 0:
 		recent := k.removed[max(0, len(k.removed)-recentlyRemoved):]
-		return "X-Api-Key", []string{recent[rand.IntN(len(recent))]}
+		return platform.HeaderKey, []string{recent[rand.IntN(len(recent))]}
 	case below(unknownKeys):
-		return "X-Api-Key", []string{keyMark + "unknown"}
+		return platform.HeaderKey, []string{keyMark + "unknown"}
 	case below(noKeys):
 		return "", nil
 	case below(repeatedKeys):
-		return "X-Api-Key", []string{valid, valid}
+		return platform.HeaderKey, []string{valid, valid}
 	default:
-		return "x-api-key", []string{valid}
+		return strings.ToLower(platform.HeaderKey), []string{valid}
 	}
 }
 
@@ -118,7 +119,7 @@
 	for _, key := range keys {
 		req.Header.Add(header, key)
 	}
-	req.Header.Add("X-TENANT-ID", forgedWorkspace)
+	req.Header.Add(strings.ToUpper(platform.HeaderWorkspace), forgedWorkspace)
 	c.checker.KeysUsed(id, keys, prefix == publicPrefix)
 }
 
