--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -29,7 +29,7 @@
 	endpoints atomic.Pointer[endpoints]
 	meanTimes sync.Map // route to *movingAverage
 	rooms     sync.Map // availability zone to *room
-	borrowing borrowing
+	spillover spillover
 }
 
 // endpoints are the upstreams of one service. The slices are not modified.
--- a/internal/balance/endpoint.go
+++ b/internal/balance/endpoint.go
@@ -218,7 +218,7 @@
 	utilization float64
 	avoided     bool
 	leaving     bool
-	// known is set if the reported load is fresh, and spare the number of slots that it then may lend to another zone.
+	// known is set if the reported load is fresh, and spare the number of slots that it then may give to another zone.
 	known bool
 	spare int
 }
@@ -241,7 +241,7 @@
 	}
 	if s.known = !e.reported.IsZero() && now.Sub(e.reported) <= reportFresh; s.known {
 		// The drain that is assumed above is that of a host without new requests, which one elsewhere may get.
-		s.spare = e.limit - e.inUse - max(0, e.inflight-e.inflightReported) - keptSlots
+		s.spare = e.limit - e.inUse - max(0, e.inflight-e.inflightReported) - reservedSlots
 	}
 	if r := e.routeSpeed(route, now); r != nil {
 		s.slowness = r.slowness
--- a/internal/balance/model_test.go
+++ b/internal/balance/model_test.go
@@ -268,7 +268,7 @@
 }
 
 // Guards against a zone that refuses requests at the peak of its demand while others have room, and against capacity that
-// is not given back, or borrowed to and fro.
+// is kept after the peak, or that alternates between zones.
 func TestModelZoneAtItsPeakBorrows(t *testing.T) {
 	withModel(t, evenOwners, func(m *model) {
 		m.run(45*time.Second, swing(m, 0.8))
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -26,10 +26,10 @@
 	homeQuality time.Duration
 	// tried is set if an upstream in the own zone has refused the request.
 	tried bool
-	// lender is an upstream in another zone with spare slots, chosen at random in proportion to them, and spare the sum
+	// spillTarget is an upstream in another zone with spare slots, chosen at random in proportion to them, and spare the sum
 	// of the slots that it was chosen from.
-	lender candidate
-	spare  int
+	spillTarget candidate
+	spare       int
 	// unknown is a random upstream in another zone whose load is not known, of unknowns.
 	unknown  candidate
 	unknowns int
@@ -111,7 +111,7 @@
 		switch {
 		case st.spare > 0:
 			if s.spare += st.spare; rand.IntN(s.spare) < st.spare {
-				s.lender = x
+				s.spillTarget = x
 			}
 		case !st.known:
 			if s.unknowns++; rand.IntN(s.unknowns) == 0 {
@@ -148,11 +148,11 @@
 	if home.endpoint != nil && home.state.avoided && far.endpoint != nil && !far.state.avoided {
 		return far.choice(s.farSecond, c.Pipelined) // home is unhealthy
 	}
-	if x := s.lender; x.endpoint != nil && (!usable || x.cost < home.cost) {
-		g.borrowing.found(x.endpoint.Zone, now)
+	if x := s.spillTarget; x.endpoint != nil && (!usable || x.cost < home.cost) {
+		g.spillover.found(x.endpoint.Zone, now)
 		return Choice{Endpoint: x.endpoint, MaxWait: x.state.transit}
 	}
-	if x := s.unknown; x.endpoint != nil && (!usable || x.quality < home.cost) && g.borrowing.mayAsk(x.endpoint.Zone, now) {
+	if x := s.unknown; x.endpoint != nil && (!usable || x.quality < home.cost) && g.spillover.mayProbe(x.endpoint.Zone, now) {
 		return Choice{Endpoint: x.endpoint, MaxWait: x.state.transit}
 	}
 	if home.endpoint == nil {
