orders: each node exchanges with other zones again

The gateways for orders had cut these exchanges to three nodes of a zone, for 10 KB/s of a fleet of 84 hosts; a zone with one reader that fails depends on them. Not shown to be the cause.

--- a/internal/orders/exchange.go
+++ b/internal/orders/exchange.go
@@ -113,8 +113,8 @@
 }
 
 // repair periodically compares positions with peers and pulls missing records. Each time a candidate
-// contacts the readers of its zone, and others a random node of it. A node of another zone is contacted as well when
-// crossesZones says so.
+// contacts the readers of its zone, and others a random node of it; every crossZonePeriod times, and
+// while the store is unreachable each time, a node of another zone is contacted as well.
 func (f *Follower) repair(ctx context.Context) {
 	var exchanges conc.WaitGroup
 	defer exchanges.Wait()
@@ -130,7 +130,7 @@
 		if len(checked) == 0 && !alone {
 			exchanges.Go(func() { f.pullFromAny(ctx, alive, sameZone) })
 		}
-		if alone || f.crossesZones(alive, turn) {
+		if turn%crossZonePeriod == 0 || f.outage.ongoing() || alone {
 			exchanges.Go(func() { f.pullFromAny(ctx, alive, otherZones) })
 		}
 		if f.needsConfirmation() {
--- a/internal/orders/follow.go
+++ b/internal/orders/follow.go
@@ -19,7 +19,7 @@
 // Timing and sizes of the distribution. An order has to be in force on every node within 2 s.
 const (
 	// readersPerZone is the number of nodes of a zone that read the topic: two, so that one may
-	// fail. A zone of singleReaderZoneSize nodes or more has one reader: together its gateways exchange
+	// fail. A zone of singleReaderZoneSize nodes or more has one reader: together its nodes exchange
 	// with other zones at least four times a second, which compensates for a failed reader as
 	// quickly as a second one would.
 	readersPerZone       = 2
@@ -49,16 +49,9 @@
 	// repairInterval is the mean time between exchanges with peers: a quarter of the time within which
 	// an order has to be in force.
 	repairInterval = 500 * time.Millisecond
-	// crossZonePeriod is the number of exchanges of which one goes to another zone while no reader is known to
-	// be working.
+	// crossZonePeriod is the number of exchanges of which one goes to another zone. It bounds the time
+	// for which the nodes of a zone miss an order when their readers fail.
 	crossZonePeriod = 2
-	// gatewaysPerZone is the number of nodes of a zone that exchange with other zones, each repairInterval, while all
-	// is well: bytes between zones cost more than those inside one. Together they do so six times a second, which bounds
-	// the time for which the nodes of a zone miss an order when their readers fail. One of them may fail with the reader.
-	gatewaysPerZone = 3
-	// readerOverdue is the time without any sign of a working reader after which all nodes exchange with other
-	// zones. It exceeds the time that the news of an uneventful read takes.
-	readerOverdue = 5 * time.Second
 	// storeDownRepairInterval is the mean time between exchanges of a node that cannot read the
 	// store: it pulls from other zones instead, since its zone has to have an order in force within 2 s.
 	storeDownRepairInterval = 300 * time.Millisecond
