--- a/internal/delivery/abandoned.go
+++ b/internal/delivery/abandoned.go
@@ -1,7 +1,6 @@
 package delivery
 
 import (
-	"strings"
 	"sync"
 	"time"
 
@@ -55,6 +54,6 @@
 // Abandoned reports whether the request with this ID is a child request of one that was given up lately and that the upstream of
 // this host may still be running.
 func (o *Owner) Abandoned(id string) bool {
-	i := strings.LastIndexByte(id, '.')
-	return i > 0 && o.abandoned.has(id[:i])
+	parent, ok := parentID(id)
+	return ok && o.abandoned.has(parent)
 }
--- a/internal/delivery/children.go
+++ b/internal/delivery/children.go
@@ -10,29 +10,43 @@
 	"celerybank/internal/verdict"
 )
 
-// Parent reports whether the request with this ID is a child request, sent by the upstream of this host
-// for a request that it is running, and whether that parent is a retry. Upstreams prefix the ID of a
-// child request with that of its parent and a dot.
-func (o *Owner) Parent(id string) (found, retry bool) {
+// parentID returns the ID of the request for which an upstream sends the child request with this ID. Upstreams prefix the ID
+// of a child request with that of its parent and a dot.
+func parentID(id string) (parent string, ok bool) {
 	i := strings.LastIndexByte(id, '.')
 	if i <= 0 {
+		return "", false
+	}
+	return id[:i], true
+}
+
+// Parent reports whether the request with this ID is a child request, sent by the upstream of this host
+// for a request that it is running, and whether that parent is a retry.
+func (o *Owner) Parent(id string) (found, retry bool) {
+	parent, ok := parentID(id)
+	if !ok {
 		return false, false
 	}
-	return o.running.find(id[:i])
+	return o.running.find(parent)
 }
 
 // ParentOf returns the route of the request that this host's upstream is running and for which it sends the request with
 // this ID, and the rank of the request that began their call tree.
 func (o *Owner) ParentOf(id string) (route string, rootRank int, ok bool) {
-	i := strings.LastIndexByte(id, '.')
-	if i <= 0 {
+	parent, ok := parentID(id)
+	if !ok {
 		return "", 0, false
 	}
-	return o.running.origin(id[:i])
+	return o.running.origin(parent)
 }
 
-// RecordChild records what became of a child request of a run of the route.
-func (o *Owner) RecordChild(route string, c calltree.Child) { o.trees.Record(route, c, time.Now()) }
+// RecordChild records what became of a child request of a run of the route, where runs are admitted by it: without that, no route
+// is limited, and LimitedRoutes must not count any.
+func (o *Owner) RecordChild(route string, c calltree.Child) {
+	if o.AdmitByChildren {
+		o.trees.Record(route, c, time.Now())
+	}
+}
 
 // admitRun decides whether the children of a request that is no child itself can be served.
 func (o *Owner) admitRun(req *proxy.Request) calltree.Admission {
