departure: facts that were lost with all nodes count as unknown

Cause: FactsSynced of the member list closes if another member has delivered its facts, and also if all members have just started. In the second case nobody remembers the departures, and nothing brings them back; the departures took it for "known". Evidence: on the node that released, departures-known came 10,725 ms after its start, with announcement-released and its reason "departures known" at the same millisecond; one of six nodes reached the end of startupGrace, and the others copied its list, which counted as complete.

Change: FactsSince says from when on a node's facts are complete, and a node that copies a list inherits it from its source, as an age in the reply to a pull. Departures cover a process only if it is younger than that, or if its announcement comes a minute later. An announcement that is not covered is held until its process passes a health check; a second announcement is no evidence any more, as it may be late too, and one that is held for a lease is dropped. The product's own node uses the same rule; its upstreams may announce when they started, so that the next process at an address is accepted at once.

Why it works: whether a departure may have been lost follows from how long the facts have been complete, not from the time since this node's start, so that it also holds for a node that starts after the others or is killed again.

In registry, TestFirstAnnouncementIsHeldWhileDeparturesAreUnknown is TestAnnouncementsAreHeldWhileDeparturesAreUnknown now: "a later one" released the upstream, which is the fault, and must not any more; the rest is as strict or stricter. Known() is gone from the tests' stand-ins: the sidecar test waits for the signal that it wrapped, and the departure test asks Covers.

--- a/internal/delivery/endless_test.go
+++ b/internal/delivery/endless_test.go
@@ -83,7 +83,7 @@
 				o.SetUpstream(registry.Upstream{Announcement: a}, true)
 				for range requests {
 					o.AssumeCold(ColdResumed) // starts a health check
-					if o.StillServes(a) {
+					if o.CheckServing(a) == Serves {
 						t.Error("an endless response passed as a health check")
 					}
 					res := o.Handle(ctx, &proxy.Request{Service: "stock", Timeout: time.Second, Idempotent: true, WaitToDeadline: true})
--- a/internal/delivery/malformed_test.go
+++ b/internal/delivery/malformed_test.go
@@ -25,7 +25,7 @@
 		Events: (*events.Recorder)(nil)})
 	for name, text := range texts {
 		a := registry.Announcement{Service: "stock", Instance: upstreamID, Address: rawhttp.Serve(t, text), Slots: 9, Born: 1}
-		if got, want := o.StillServes(a), name == "well-formed"; got != want {
+		if got, want := o.CheckServing(a) == Serves, name == "well-formed"; got != want {
 			t.Errorf("%s: the health check passed: %v, want %v", name, got, want)
 		}
 	}
--- a/internal/delivery/probe.go
+++ b/internal/delivery/probe.go
@@ -64,13 +64,31 @@
 	return o.checkHealth(up)
 }
 
-// StillServes asks the process of an announcement whether it serves, by one health check: a process that leaves does not
+// ServingCheck is the result of a health check that asks whether a process serves.
+type ServingCheck string
+
+const (
+	Serves       ServingCheck = "serves"
+	NotServing   ServingCheck = "not serving"
+	OtherProcess ServingCheck = "another process"
+	NoResponse   ServingCheck = "no response"
+)
+
+// CheckServing asks the process of an announcement whether it serves, by one health check: a process that leaves does not
 // pass it.
-func (o *Owner) StillServes(a registry.Announcement) bool {
+func (o *Owner) CheckServing(a registry.Announcement) ServingCheck {
 	client := o.newClient(a, nil)
 	defer client.CloseIdle()
 	h, ok := o.checkHealthOver(client, a.Service)
-	return ok && h.OK && h.Instance == a.Instance
+	switch {
+	case !ok:
+		return NoResponse
+	case h.Instance != a.Instance:
+		return OtherProcess
+	case !h.OK:
+		return NotServing
+	}
+	return Serves
 }
 
 // checkHealth sends one health check; ok is false if there was no response.
--- a/internal/departure/departure.go
+++ b/internal/departure/departure.go
@@ -51,6 +51,8 @@
 	retention = time.Minute
 	// maxNotices bounds the notices about processes of one host; the oldest are dropped first.
 	maxNotices = 64
+	// clockTolerance is the largest expected difference between the time of day of an upstream and that of its node.
+	clockTolerance = 5 * time.Second
 )
 
 // Members spreads facts to the other nodes, which hold them.
@@ -60,6 +62,8 @@
 	SubscribeFacts(f func(gossip.Fact))
 	// FactsSynced returns a channel that is closed once this node has the facts that other nodes held when it started.
 	FactsSynced() <-chan struct{}
+	// FactsSince returns the time from which on this node has all facts that were published; ok is false before FactsSynced is closed.
+	FactsSince() (since time.Time, ok bool)
 }
 
 // Tracker keeps the departures of one host's upstream processes.
@@ -95,14 +99,16 @@
 	return None
 }
 
-// Known reports whether this process knows the departures that the previous process of the node confirmed.
-func (t *Tracker) Known() bool {
-	select {
-	case <-t.members.FactsSynced():
-		return true
-	default:
-		return false
+// Covers reports whether this process knows if a process of the upstream has left. The process started at born, in Unix milliseconds
+// (0 if unknown), and its announcement was received at the given time. Other nodes may have started at the same time as this one, and
+// hold no departures from before. So either the process has to be younger than what they hold, or the announcement would be
+// older than they hold any departure.
+func (t *Tracker) Covers(born int64, received time.Time) bool {
+	since := t.started
+	if facts, ok := t.members.FactsSince(); ok && facts.Before(since) {
+		since = facts
 	}
+	return received.Sub(since) >= retention || time.UnixMilli(born).Sub(since) > clockTolerance
 }
 
 // Record keeps a notice and hands it to other nodes. It is to be called before the departure is confirmed: a process that
@@ -161,7 +167,7 @@
 	}
 }
 
-// Run passes on the departures that other nodes hold, and calls known once when all are known, until ctx ends.
+// Run passes on the departures that other nodes hold, and calls known once when it has passed on all of them, until ctx ends.
 func (t *Tracker) Run(ctx context.Context, departed func(Notice), known func()) error {
 	synced := t.members.FactsSynced()
 	for ctx.Err() == nil {
@@ -177,7 +183,8 @@
 			departed(n)
 		}
 		if nowKnown {
-			t.events.Emit(events.DeparturesKnown, events.Fields{"after_ms": time.Since(t.started).Milliseconds()})
+			since, _ := t.members.FactsSince()
+			t.events.Emit(events.DeparturesKnown, events.Fields{"after_ms": time.Since(t.started).Milliseconds(), "since_ms": time.Since(since).Milliseconds()})
 			known()
 		}
 	}
--- a/internal/departure/departure_test.go
+++ b/internal/departure/departure_test.go
@@ -15,14 +15,26 @@
 	held   []gossip.Fact
 	subs   []func(gossip.Fact)
 	synced chan struct{}
+	// since is from when on they have held all facts.
+	since time.Time
 }
 
 func (o *others) PublishFact(f gossip.Fact)          { o.held = append(o.held, f) }
 func (o *others) SubscribeFacts(f func(gossip.Fact)) { o.subs = append(o.subs, f) }
 func (o *others) FactsSynced() <-chan struct{}       { return o.synced }
+func (o *others) FactsSince() (time.Time, bool) {
+	select {
+	case <-o.synced:
+		return o.since, true
+	default:
+		return time.Time{}, false
+	}
+}
 
 // restart returns the members as the next process of the host sees them before it knows any facts.
-func (o *others) restart() *others { return &others{held: o.held, synced: make(chan struct{})} }
+func (o *others) restart() *others {
+	return &others{held: o.held, synced: make(chan struct{}), since: o.since}
+}
 
 // sync hands over all facts.
 func (o *others) sync() {
@@ -39,7 +51,8 @@
 // A departure is confirmed, and the host's process ends once and once more. Each next process must know the departure.
 func TestDepartureOutlivesTwoProcesses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		mesh := (&others{}).restart()
+		mesh := (&others{since: time.Now()}).restart()
+		time.Sleep(retention)
 		first := New(host, mesh, nil)
 		first.Record(Notice{Instance: "i-1", Born: 100, Stage: Draining})
 		first.Record(Notice{Instance: "i-1", Born: 100, Stage: Ended})
@@ -47,7 +60,7 @@
 		for restart := range 2 {
 			mesh = mesh.restart()
 			next := New(host, mesh, nil)
-			if next.Known() {
+			if next.Covers(100, time.Now()) {
 				t.Fatalf("restart %d: departures are known before any node was heard of", restart)
 			}
 			ctx, stop := context.WithCancel(t.Context())
@@ -56,8 +69,9 @@
 			go func() { _ = next.Run(ctx, func(n Notice) { departed = append(departed, n) }, func() { known++ }) }()
 			mesh.sync()
 			synctest.Wait()
-			if got := next.Stage("i-1", 100); got != Ended || !next.Known() || known != 1 {
-				t.Errorf("restart %d: stage %v, known %v and reported %d times; want %v, true and once", restart, got, next.Known(), known, Ended)
+			covers := next.Covers(100, time.Now())
+			if got := next.Stage("i-1", 100); got != Ended || !covers || known != 1 {
+				t.Errorf("restart %d: stage %v, known %v and reported %d times; want %v, true and once", restart, got, covers, known, Ended)
 			}
 			if n := len(departed); n == 0 || departed[n-1].Stage != Ended {
 				t.Errorf("restart %d: departures passed on: %+v, want the end of i-1 last", restart, departed)
@@ -98,3 +112,36 @@
 		}
 	}
 }
+
+// All nodes ended at the same moment and started again, and with them the departures that they held. Nobody may count as known not to
+// have left, except processes that are younger than what the nodes hold; however late an announcement arrives before departures would
+// have been dropped anyway, and although the others have handed over all that they hold.
+func TestDeparturesLostWithAllNodesAreNotKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old := time.Now().UnixMilli()
+		time.Sleep(time.Hour)
+		mesh := (&others{}).restart()
+		next := New(host, mesh, nil)
+		time.Sleep(10 * time.Second)
+		mesh.since = time.Now()
+		mesh.sync()
+		for _, c := range []struct {
+			after time.Duration
+			born  int64
+			known bool
+		}{
+			{0, old, false}, {0, 0, false}, {retention - time.Second, old, false}, {retention - time.Second, 0, false},
+			{retention, old, true}, {retention, 0, true},
+			{0, time.Now().UnixMilli(), true},
+			{0, time.Now().Add(-10 * time.Second).UnixMilli(), false}, // clocks may differ
+		} {
+			if got := next.Covers(c.born, next.started.Add(c.after)); got != c.known {
+				t.Errorf("announcement %v after the start, of a process that started at %d: got known %v, want %v", c.after, c.born, got, c.known)
+			}
+		}
+		later := New(host, mesh, nil) // alone it knows even less, with the others as much as they do
+		if got := later.Covers(old, mesh.since.Add(retention-time.Second)); got {
+			t.Error("departures from before the start of the others are known to a node that starts after them")
+		}
+	})
+}
--- a/internal/gossip/facts.go
+++ b/internal/gossip/facts.go
@@ -90,11 +90,28 @@
 }
 
 // FactsSynced returns a channel that is closed once a member that was in the mesh before this node has delivered its
-// facts, or none was found within startupGrace: every node of the mesh has then just started.
+// facts, or none was found within startupGrace: every node of the mesh has then just started, and facts that were published
+// before may be lost. FactsSince tells.
 func (m *Members) FactsSynced() <-chan struct{} { return m.factsSynced }
 
-// setFactsSynced closes the channel of FactsSynced on its first call.
-func (m *Members) setFactsSynced() { m.factsSyncedOnce.Do(func() { close(m.factsSynced) }) }
+// FactsSince returns the time from which on all facts that members published have reached this node, unless they have expired.
+// It is when the facts of the member from which this node copied them began to be complete, and so may be long before the start of this
+// process. If all members started at the same time, it is the end of startupGrace. ok is false before FactsSynced is closed.
+func (m *Members) FactsSince() (since time.Time, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.factsSince, !m.factsSince.IsZero()
+}
+
+// setFactsSynced closes the channel of FactsSynced on its first call; since is the time of FactsSince.
+func (m *Members) setFactsSynced(since time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.factsSince.IsZero() {
+		m.factsSince = since
+		close(m.factsSynced)
+	}
+}
 
 // mergeFact stores f and queues it for other members, unless it is outdated, expired or
 // too large. m.mu is held.
--- a/internal/gossip/join.go
+++ b/internal/gossip/join.go
@@ -39,7 +39,7 @@
 			if !m.isSynced() && now.After(nextPull) && hasBudget(m.repair) {
 				m.setSynced(m.pullFromAny(ctx, m.oldestOf(joinCandidates)) || now.Sub(firstContact) > startupGrace)
 				if m.isSynced() {
-					m.setFactsSynced()
+					m.setFactsSynced(time.Now())
 				}
 				wait = min(2*wait, seedInterval)
 				nextPull = time.Now().Add(wait)
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -76,9 +76,9 @@
 	left       bool
 	synced     bool // the list counts as complete; see startupGrace
 
-	// factsSynced is the channel of FactsSynced.
-	factsSynced     chan struct{}
-	factsSyncedOnce sync.Once
+	// factsSynced is the channel of FactsSynced, and factsSince the time of FactsSince; both are set once.
+	factsSynced chan struct{}
+	factsSince  time.Time
 }
 
 // entry is a member together with this node's local state about it.
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -364,6 +364,41 @@
 	})
 }
 
+// Facts are lost if all nodes end at the same moment. FactsSince must say so on each of them, also on one that starts after the others
+// and gets a complete list from them; and a node that restarts alone must know how old the facts of the others are.
+func TestFactsSinceIsAfterTheEndOfAllNodes(t *testing.T) {
+	withCluster(t, 16, 2, func(c *cluster) {
+		const upFor = 2 * time.Minute
+		time.Sleep(upFor)
+		alone := address(2, 3)
+		c.kill(alone)
+		next := c.start(alone)
+		<-next.FactsSynced()
+		if since, ok := next.FactsSince(); !ok || time.Since(since) < upFor-2*startupGrace {
+			t.Errorf("after the restart of one node: facts since %v, %v, want for about %v", time.Since(since), ok, upFor)
+		}
+		var addrs []string
+		for _, i := range c.running() {
+			addrs = append(addrs, i.addr)
+			c.kill(i.addr)
+		}
+		restart := time.Now()
+		for _, addr := range addrs {
+			if addr != alone {
+				c.start(addr)
+			}
+		}
+		time.Sleep(2 * startupGrace)
+		c.start(alone)
+		for _, i := range c.running() {
+			<-i.FactsSynced()
+			if since, ok := i.FactsSince(); !ok || since.Before(restart) {
+				t.Errorf("%s: facts since %v before the restart of all nodes, %v", i.addr, restart.Sub(since), ok)
+			}
+		}
+	})
+}
+
 func TestFactsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := New(Config{Self: Member{Addr: address(1, 1)}, Events: nil})
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -82,6 +82,8 @@
 	Next int `msgpack:"n,omitempty"`
 	// Partial says that the sender's own list is not complete yet.
 	Partial bool `msgpack:"q,omitempty"`
+	// FactsMillis is for how long the sender has had all facts that were published, in milliseconds; 0 if unknown.
+	FactsMillis int64 `msgpack:"f,omitempty"`
 	// Busy says that the sender's repair budget is used up; Peers are other members to pull
 	// from.
 	Busy    bool     `msgpack:"b,omitempty"`
--- a/internal/gossip/repair.go
+++ b/internal/gossip/repair.go
@@ -71,7 +71,7 @@
 		}
 		if reply.Next <= start {
 			if !reply.Partial {
-				m.setFactsSynced()
+				m.setFactsSynced(time.Now().Add(-time.Duration(reply.FactsMillis) * time.Millisecond))
 			}
 			return !reply.Partial, nil
 		}
--- a/internal/gossip/service.go
+++ b/internal/gossip/service.go
@@ -92,6 +92,9 @@
 		m.observe(fromWire(&args.Self))
 	}
 	reply.Self, reply.Partial = toWire(m.self), !m.synced
+	if !m.factsSince.IsZero() {
+		reply.FactsMillis = time.Since(m.factsSince).Milliseconds()
+	}
 	reply.Busy = busy && args.Root != m.digest.root
 	var u updates
 	if !busy && args.Root != m.digest.root {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,7 +181,7 @@
 	run(n.lag.Run)
 	run(n.members.Run)
 	run(func(ctx context.Context) error {
-		return n.departures.Run(ctx, n.registry.Departed, n.registry.DeparturesKnown)
+		return n.departures.Run(ctx, n.registry.Departed, n.registry.ReleaseCovered)
 	})
 	run(n.distributor.Run)
 	run(n.housekeeping)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -56,8 +56,9 @@
 	Record(n departure.Notice)
 	// Stage returns how far a process has left.
 	Stage(instance string, born int64) departure.Stage
-	// Known reports whether the departures that the previous process of this node confirmed are known.
-	Known() bool
+	// Covers reports whether this process knows if a process that started at born has left, by an announcement that was received
+	// at the given time.
+	Covers(born int64, received time.Time) bool
 }
 
 // Registry holds the upstream of one host.
@@ -65,8 +66,8 @@
 	service, address string
 	events           *events.Recorder
 	departures       Departures
-	// interval is the usual time between two announcements, lease how long one is valid.
-	interval, lease time.Duration
+	// lease is how long an announcement is valid.
+	lease time.Duration
 
 	mu      sync.Mutex
 	current Upstream
@@ -74,11 +75,13 @@
 	// handedOver is set once a successor of this node's process is responsible for the
 	// upstream.
 	handedOver bool
-	// held is an announcement that waits until the departures are known, if its Instance is set; heldSince is when its
-	// process first announced itself.
-	held      Announcement
-	heldSince time.Time
-	onChange  func(u Upstream, present bool)
+	// held is the newest announcement of a process that waits until it is known not to have left, if its Instance is set; heldSince
+	// is when the process first announced itself, and heldRenewed when the newest announcement was received.
+	held                   Announcement
+	heldSince, heldRenewed time.Time
+	// holds has a value after an announcement of another process was held.
+	holds    chan struct{}
+	onChange func(u Upstream, present bool)
 }
 
 // SameProcess reports whether b is an announcement of the same process.
@@ -94,8 +97,8 @@
 // itself about every interval. onChange is called under the registry's lock after each
 // accepted announcement and each other change; present is false if there is no upstream.
 func New(service, address string, interval time.Duration, departures Departures, ev *events.Recorder, onChange func(u Upstream, present bool)) *Registry {
-	return &Registry{service: service, address: address, departures: departures, interval: interval, lease: leaseIntervals * interval,
-		events: ev, onChange: onChange}
+	return &Registry{service: service, address: address, departures: departures, lease: leaseIntervals * interval,
+		events: ev, holds: make(chan struct{}, 1), onChange: onChange}
 }
 
 // Announce applies an announcement. It returns false if this node is not responsible for
@@ -131,37 +134,62 @@
 	return true
 }
 
-// hold keeps the first announcement to this process while it does not know the departures that its predecessor confirmed:
-// the announcement may be a late one of a process that has left. It reports false if the upstream may get requests: its
-// process has announced itself again, which one that has left does not do.
+// hold keeps an announcement while nothing shows that its process has not left: it may be late by any time, and from before
+// a departure that a predecessor of this process confirmed and no node remembers. A further one says no more, as it may be late
+// too. It reports false if the upstream may get requests.
 func (r *Registry) hold(a Announcement) bool {
+	now := time.Now()
 	known := r.current.Instance != "" && r.current.SameProcess(a)
-	if a.State != Ready || known || r.departures.Known() {
+	if a.State != Ready || known || r.departures.Covers(a.Born, now) {
 		return false
 	}
-	now := time.Now()
-	if !r.held.SameProcess(a) {
-		r.held, r.heldSince = a, now
+	switch {
+	case !r.held.SameProcess(a):
+		r.held, r.heldSince, r.heldRenewed = a, now, now
 		r.events.Emit(events.AnnounceHeld, events.Fields{"instance": a.Instance, "sequence": a.Sequence, "born": a.Born})
-		return true
+		select {
+		case r.holds <- struct{}{}:
+		default:
+		}
+	case a.Sequence > r.held.Sequence:
+		r.held, r.heldRenewed = a, now
 	}
-	return a.Sequence <= r.held.Sequence || now.Sub(r.heldSince) < r.interval/2
+	return true
 }
 
-// Held returns the announcement that waits for the departures of the predecessor; ok is false if none does.
+// Holds returns a channel that has a value after an announcement of another process was held.
+func (r *Registry) Holds() <-chan struct{} { return r.holds }
+
+// Held returns the announcement whose process may have left; ok is false if there is none.
 func (r *Registry) Held() (a Announcement, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.held, r.held.Instance != ""
 }
 
-// Release applies the announcement that waits, if it is of the same process as a and that has not left. reason is why its
-// process is known not to have left.
-func (r *Registry) Release(a Announcement, reason ReleaseReason) {
+// ReleaseServing applies the announcement that is held, if its process is that of a and has not left: it has passed a health check.
+func (r *Registry) ReleaseServing(a Announcement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.held.SameProcess(a) {
+		r.release(healthChecked)
+	}
+}
+
+// ReleaseCovered applies the announcement that is held, if the departures that are known now show that its process has not left.
+func (r *Registry) ReleaseCovered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.departures.Covers(r.held.Born, r.heldRenewed) {
+		r.release(departuresKnown)
+	}
+}
+
+// release applies the announcement that is held, unless its process is known to have left. reason is why it may get requests. r.mu is
+// held.
+func (r *Registry) release(reason releaseReason) {
 	held := r.held
-	if held.Instance == "" || !held.SameProcess(a) || r.handedOver {
+	if held.Instance == "" || r.handedOver {
 		return
 	}
 	r.held = Announcement{}
@@ -174,12 +202,12 @@
 	r.accept(held)
 }
 
-// ReleaseReason is the evidence that an upstream has not left.
-type ReleaseReason string
+// releaseReason is the evidence that an upstream has not left.
+type releaseReason string
 
 const (
-	DeparturesKnown ReleaseReason = "departures known"
-	HealthChecked   ReleaseReason = "health check"
+	departuresKnown releaseReason = "departures known"
+	healthChecked   releaseReason = "health check"
 )
 
 // accept makes a the current announcement. r.mu is held.
@@ -345,10 +373,15 @@
 	return true
 }
 
-// Expire removes the upstream if its lease has expired. It is to be called periodically.
+// Expire removes the upstream if its lease has expired, and drops an announcement that was held for as long. It is to be called
+// periodically.
 func (r *Registry) Expire() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.held.Instance != "" && time.Since(r.heldRenewed) >= r.lease {
+		r.ignore(r.held, "nothing showed that its process has not left, and the process did not announce itself again")
+		r.held = Announcement{}
+	}
 	if !r.present || time.Since(r.current.LastAnnounced) < r.lease {
 		return
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -20,8 +20,8 @@
 	notices []departure.Notice
 }
 
-func (d *departures) Record(n departure.Notice) { d.notices = append(d.notices, n) }
-func (d *departures) Known() bool               { return d.known }
+func (d *departures) Record(n departure.Notice)    { d.notices = append(d.notices, n) }
+func (d *departures) Covers(int64, time.Time) bool { return d.known }
 func (d *departures) Stage(instance string, born int64) (stage departure.Stage) {
 	for _, n := range d.notices {
 		if n.Instance == instance && born <= n.Born {
@@ -177,9 +177,9 @@
 	}
 }
 
-// The predecessor of this process may have confirmed that an upstream leaves. Until the departures are known, a first
-// announcement may be a late one of that upstream.
-func TestFirstAnnouncementIsHeldWhileDeparturesAreUnknown(t *testing.T) {
+// The predecessor of this process may have confirmed that an upstream leaves. While the departures are unknown, announcements
+// may be late ones of that upstream, however many arrive and however long they are held.
+func TestAnnouncementsAreHeldWhileDeparturesAreUnknown(t *testing.T) {
 	const interval = time.Second
 	left := departure.Notice{Instance: "i-1", Born: 100, Stage: departure.Ended}
 	for name, c := range map[string]struct {
@@ -190,17 +190,45 @@
 		"a repeated one": {func(r *Registry, _ *departures) { time.Sleep(interval); r.Announce(announcement("i-1", 5, 100)) }, false},
 		"an earlier one": {func(r *Registry, _ *departures) { time.Sleep(interval); r.Announce(announcement("i-1", 4, 100)) }, false},
 		"two late ones":  {func(r *Registry, _ *departures) { r.Announce(announcement("i-1", 6, 100)) }, false},
-		"a later one":    {func(r *Registry, _ *departures) { time.Sleep(interval); r.Announce(announcement("i-1", 6, 100)) }, true},
-		"it has left": {func(r *Registry, d *departures) {
+		"a later one":    {func(r *Registry, _ *departures) { time.Sleep(interval); r.Announce(announcement("i-1", 6, 100)) }, false},
+		"many later ones": {func(r *Registry, _ *departures) {
+			for n := range int64(50) {
+				time.Sleep(interval)
+				r.Expire()
+				r.Announce(announcement("i-1", 6+n, 100))
+			}
+		}, false},
+		"the departures of others only": {func(r *Registry, _ *departures) { r.ReleaseCovered() }, false},
+		"the departures, it has left": {func(r *Registry, d *departures) {
 			d.Record(left)
-			r.Release(announcement("i-1", 5, 100), DeparturesKnown)
+			d.known = true
+			r.ReleaseCovered()
 		}, false},
-		"it has not left": {func(r *Registry, _ *departures) { r.Release(announcement("i-1", 5, 100), DeparturesKnown) }, true},
-		"another process": {func(r *Registry, _ *departures) { r.Release(announcement("i-2", 1, 200), HealthChecked) }, false},
-		"its end": {func(r *Registry, d *departures) {
+		"the departures, it has not left": {func(r *Registry, d *departures) { d.known = true; r.ReleaseCovered() }, true},
+		"one when departures are known": {func(r *Registry, d *departures) {
+			d.known = true
+			r.Announce(announcement("i-1", 6, 100))
+		}, true},
+		"a health check":                     {func(r *Registry, _ *departures) { r.ReleaseServing(announcement("i-1", 5, 100)) }, true},
+		"a health check of another process":  {func(r *Registry, _ *departures) { r.ReleaseServing(announcement("i-2", 1, 200)) }, false},
+		"a health check of an earlier start": {func(r *Registry, _ *departures) { r.ReleaseServing(announcement("i-1", 5, 99)) }, false},
+		"a health check, then its end": {func(r *Registry, d *departures) {
 			r.End("i-1", 0)
-			r.Release(announcement("i-1", 5, 100), DeparturesKnown)
+			r.ReleaseServing(announcement("i-1", 5, 100))
+		}, false},
+		"a health check after the lease": {func(r *Registry, _ *departures) {
+			time.Sleep(leaseIntervals * interval)
+			r.Expire()
+			r.ReleaseServing(announcement("i-1", 5, 100))
 		}, false},
+		"a health check of a slow one": {func(r *Registry, _ *departures) {
+			for n := range int64(3) {
+				time.Sleep((leaseIntervals - 1) * interval)
+				r.Expire()
+				r.Announce(announcement("i-1", 6+n, 100))
+			}
+			r.ReleaseServing(announcement("i-1", 6, 100))
+		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/sidecar/departure_test.go
+++ b/internal/sidecar/departure_test.go
@@ -150,7 +150,7 @@
 				m.log.SetFaults(configlog.Faults{}) // a node that has left the mesh finds it through the store only
 			}
 			eventually(t, "the next process is ready", func() bool { return leaving.ready() && near.node.aliveMembers() == len(m.hosts) })
-			eventually(t, "the next process knows the departures", leaving.node.departures.Known)
+			<-leaving.node.members.FactsSynced()
 			if up := leaving.node.members.Self().Upstream; up.Instance != "" {
 				t.Errorf("the next process announces the upstream %s, which has left", up.Instance)
 			}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -38,6 +38,7 @@
 	instance string
 	sequence int64
 	runs     atomic.Int64
+	checks   atomic.Int64 // health checks received
 	leaving  atomic.Bool
 	// mu guards lastRequest, the last request that ran.
 	mu          sync.Mutex
@@ -85,6 +86,7 @@
 }
 
 func (h *host) serveHealth(w http.ResponseWriter) {
+	h.checks.Add(1)
 	if h.leaving.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -298,7 +298,7 @@
 func (s *Server) Announce(ctx context.Context, node, address string) {
 	s.mu.Lock()
 	body, _ := json.Marshal(map[string]any{"service": s.cfg.Service, "version": s.cfg.Version,
-		"address": address, "slots": s.cfg.Slots, "instance": s.instance})
+		"address": address, "slots": s.cfg.Slots, "instance": s.instance, "started": s.started.UnixMilli()})
 	s.mu.Unlock()
 	for {
 		delay := announceInterval
--- a/internal/testmesh/testmesh.go
+++ b/internal/testmesh/testmesh.go
@@ -144,7 +144,7 @@
 		<-ctx.Done()
 		_ = server.Close()
 	})
-	a := upstream.Announcement{Service: cfg.Service, Version: cfg.Version, Address: addr, Slots: cfg.Slots, Instance: instance}
+	a := upstream.Announcement{Service: cfg.Service, Version: cfg.Version, Address: addr, Slots: cfg.Slots, Instance: instance, Started: time.Now().UnixMilli()}
 	tasks.Go(func() {
 		for ctx.Err() == nil {
 			if err := h.running.Load().Announce(a); err != nil {
--- a/internal/upstream/registry.go
+++ b/internal/upstream/registry.go
@@ -29,6 +29,8 @@
 	Slots int `json:"slots"`
 	// Instance is unique to the process: a new value means that the upstream restarted and is cold.
 	Instance string `json:"instance"`
+	// Started is when the process started, in Unix milliseconds; 0 if not announced.
+	Started int64 `json:"started,omitempty"`
 }
 
 // Validate returns an error that names the first invalid field, or nil.
@@ -56,8 +58,9 @@
 	Record(n departure.Notice)
 	// Stage returns how far a process has left.
 	Stage(instance string, born int64) departure.Stage
-	// Known reports whether the departures that the previous process of this node confirmed are known.
-	Known() bool
+	// Covers reports whether this process knows if a process that started at born has left, by an announcement that was received
+	// at the given time.
+	Covers(born int64, received time.Time) bool
 }
 
 // Registry holds the current announcement of the upstream on this host.
@@ -70,7 +73,7 @@
 	renewed  time.Time
 	present  bool
 	draining bool
-	// held is an announcement that waits until the departures are known, if its Instance is set; heldSince is when its
+	// held is an announcement that waits until its process is known not to have left, if its Instance is set; heldSince is when the
 	// process first announced itself.
 	held      Announcement
 	heldSince time.Time
@@ -105,19 +108,20 @@
 	return nil
 }
 
-// hold keeps the first announcement to this process while it does not know the departures that its predecessor confirmed:
-// the announcement may be a late one of a process that has left. It reports false if the upstream may get requests: its
-// process has announced itself again, which one that has left does not do.
+// hold keeps the first announcement of a process while this one cannot know whether a predecessor confirmed that it leaves. It
+// reports false if the upstream may get requests: its process has announced itself again within LeaseDuration, which one that has left
+// does not do.
 func (r *Registry) hold(a Announcement) bool {
-	if r.departures.Known() {
+	now := time.Now()
+	if r.departures.Covers(a.Started, now) {
 		return false
 	}
-	if r.held.Instance != a.Instance {
-		r.held, r.heldSince = a, time.Now()
+	if r.held.Instance != a.Instance || now.Sub(r.heldSince) > LeaseDuration {
+		r.held, r.heldSince = a, now
 		r.events.Emit(events.AnnounceHeld, events.Fields{"instance": a.Instance})
 		return true
 	}
-	return time.Since(r.heldSince) < announceInterval/2
+	return now.Sub(r.heldSince) < announceInterval/2
 }
 
 // accept makes a the current announcement. r.mu is held.
@@ -129,13 +133,12 @@
 	r.onChange(a, true, false)
 }
 
-// DeparturesKnown applies the announcement that waits for the departures of the predecessor, unless its process has left.
-func (r *Registry) DeparturesKnown() {
+// ReleaseCovered applies the announcement that is held, if the departures that are known now show that its process has not left.
+func (r *Registry) ReleaseCovered() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := r.held
-	r.held = Announcement{}
-	if a.Instance != "" && r.departures.Stage(a.Instance, 0) == departure.None {
+	if a.Instance != "" && r.departures.Stage(a.Instance, 0) == departure.None && r.departures.Covers(a.Started, r.heldSince) {
 		r.accept(a)
 	}
 }
