registry: an announcement without the start of its process is another writer's

The upstream got 54 requests in one second (32 allowed), and crashed.

Cause: the start is optional in an announcement, so that one without it counted as that of another process. It was accepted, as starts were compared only if both are known, and its cold phase, none, replaced the announced one.

Change: while the upstream of the host announces its start, an announcement without one is ignored and not confirmed. Upstreams that announce no start are accepted as before.

Test, red before: internal/registry TestAnnouncementWithoutStartIsIgnored (4 of 4 announcements applied).

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -102,7 +102,8 @@
 }
 
 // Announce applies an announcement. It returns false if this node is not responsible for
-// the upstream: it is not the one of this host, or it has been handed over. It returns
+// the upstream: it is not the one of this host, it has been handed over, or the announcement lacks
+// a field that the upstream of this host announces. It returns
 // true for an outdated announcement, which is ignored. A departure is recorded before
 // Announce returns.
 func (r *Registry) Announce(a Announcement) bool {
@@ -124,6 +125,10 @@
 		r.ignore(a, "this node has handed the upstream over to its successor")
 		return false
 	}
+	if a.Born == 0 && (r.present && r.current.Born > 0 || r.held.Born > 0) {
+		r.ignore(a, "without the start of its process, which the upstream of this host announces: from another writer")
+		return false
+	}
 	if reason := r.staleReason(a); reason != "" {
 		r.ignore(a, reason)
 		return true
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -121,6 +121,33 @@
 	})
 }
 
+// An announcement of another writer lacks the start of the process. It ended the cold phase of the upstream, and the next one that the
+// upstream sent did not bring it back.
+func TestAnnouncementWithoutStartIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, instance := range []string{"i-1", "i-2"} {
+			for _, state := range []State{Ready, Draining} {
+				r, u, present := newTestRegistry()
+				a := announcement("i-1", 5, 100)
+				a.ColdFor = 3 * time.Second
+				r.Announce(a)
+				other := announcement(instance, 6, 0)
+				other.State = state
+				if r.Announce(other) || u.Instance != "i-1" || u.State != Ready || u.ColdUntil != time.Now().Add(a.ColdFor) {
+					t.Errorf("%s, state %v, without a start: acknowledged or applied: %+v", instance, state, u)
+				}
+				if r.Announce(announcement("i-1", 6, 100)); !*present || u.Sequence != 6 {
+					t.Errorf("after one without a start: got %+v, want sequence 6 of i-1", u)
+				}
+			}
+		}
+		r, u, present := newTestRegistry()
+		if r.Announce(announcement("i-1", 1, 0)); !*present || u.Instance != "i-1" {
+			t.Error("an upstream that announces no start is not accepted")
+		}
+	})
+}
+
 // An upstream handed over by a predecessor is current, and cold, until it announces itself.
 // It is not adopted once it has announced its end.
 func TestAdoptedUpstream(t *testing.T) {
