soak: late announcements of upstreams that leave

An upstream that leaves sent nothing from before its notice, always said draining first and ended 2.5 s later, so that the soak could not meet a late announcement after a kill of all nodes. Two announcements from before arrive up to 13 s late now, half of the upstreams say first that they end and announce themselves no more, and a third serve for 15 s.

The behaviour of an upstream is not seeded.

--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -32,6 +32,11 @@
 	// drainDuration is how long an upstream continues to serve requests after the node acknowledged that
 	// it drains.
 	drainDuration = drainBound + 500*time.Millisecond
+	// One in lingerOneIn upstreams that leave serves for lingerDuration after its notice.
+	lingerOneIn    = 3
+	lingerDuration = 15 * time.Second
+	// lateMax is how late the announcements arrive that were sent before an upstream leaves.
+	lateMax = 13 * time.Second
 	// drainAckTimeout bounds the wait for that acknowledgement; without one the drain continues.
 	drainAckTimeout = 6 * time.Second
 	// silentService is the service whose upstreams leave a request that finds no free slot unanswered, with all that follows
@@ -55,6 +60,8 @@
 	stop     context.CancelFunc
 	running  atomic.Int64
 	draining atomic.Bool
+	// silent upstreams have said that they end and announce themselves no more.
+	silent atomic.Bool
 
 	mu       sync.Mutex
 	sequence int64
@@ -165,7 +172,7 @@
 func (u *upstream) announceLoop(ctx context.Context) {
 	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !u.silent.Load() {
 		_ = u.announce(ctx) // repeated after heartbeatInterval
 		select {
 		case <-tick.C:
@@ -176,13 +183,22 @@
 
 // announce announces the upstream once. An error means that the node has not acknowledged it.
 func (u *upstream) announce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
+	return u.send(ctx, u.nextAnnouncement())
+}
+
+// nextAnnouncement returns the next announcement, for now.
+func (u *upstream) nextAnnouncement() counterpart.Announcement {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.sequence++
-	a := counterpart.Announcement{Instance: u.instance, Service: u.host.service, Address: u.host.addr(upstreamProxyPort), Zone: u.host.zone, Version: u.version,
+	return counterpart.Announcement{Instance: u.instance, Service: u.host.service, Address: u.host.addr(upstreamProxyPort), Zone: u.host.zone, Version: u.version,
 		Slots: slots, Draining: u.draining.Load(), Cold: time.Until(u.warmAt), Sequence: u.sequence, Born: u.born.UnixMilli()}
-	u.mu.Unlock()
+}
+
+// send sends an announcement. An error means that the node has not acknowledged it.
+func (u *upstream) send(ctx context.Context, a counterpart.Announcement) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
 	err := counterpart.Announce(ctx, u.host.addr(counterpart.ControlPort), a)
 	if err == nil && a.Draining {
 		u.checker.DrainAcknowledged(u.instance)
@@ -190,25 +206,51 @@
 	return err
 }
 
-// drain stops the upstream as upstreams of the platform stop: it announces that it drains, continues to
-// serve requests for drainDuration, notifies the node that it has ended, and ends. It returns early, with
-// the upstream still running, if ctx ends.
+// sendLate sends an announcement from before the upstream left, once a random time of up to lateMax has passed.
+func (u *upstream) sendLate(ctx context.Context, a counterpart.Announcement) {
+	for wait := rand.N(lateMax); duration.Sleep(ctx, wait) && u.send(ctx, a) != nil; wait = heartbeatInterval / 4 {
+	}
+}
+
+// drain stops the upstream as upstreams of the platform stop: it announces that it drains, or that it ends, continues to
+// serve requests for drainDuration or longer, notifies the node that it has ended, and ends. Two announcements from before
+// arrive late. It returns early, with the upstream still running, if ctx ends.
 func (u *upstream) drain(ctx context.Context) {
+	for range 2 {
+		late := u.nextAnnouncement()
+		go u.sendLate(ctx, late)
+	}
+	notice := u.announce
+	if endsFirst := rand.N(2) == 0; endsFirst {
+		u.silent.Store(true)
+		notice = u.announceEnd
+	}
 	u.draining.Store(true)
-	for end := time.Now().Add(drainAckTimeout); time.Now().Before(end) && u.announce(ctx) != nil; {
+	for end := time.Now().Add(drainAckTimeout); time.Now().Before(end) && notice(ctx) != nil; {
 		if !duration.Sleep(ctx, heartbeatInterval/4) {
 			return
 		}
 	}
-	if !duration.Sleep(ctx, drainDuration) {
+	serves := drainDuration
+	if rand.N(lingerOneIn) == 0 {
+		serves = lingerDuration
+	}
+	if !duration.Sleep(ctx, serves) {
 		return
 	}
-	endCtx, cancel := context.WithTimeout(ctx, announceTimeout)
+	_ = u.announceEnd(ctx) // the upstream ends in any case
+	u.crash()
+}
+
+// announceEnd notifies the node that the upstream ends. An error means that the node has not acknowledged it.
+func (u *upstream) announceEnd(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	if counterpart.AnnounceEnd(endCtx, u.host.addr(counterpart.ControlPort), u.instance, u.born.UnixMilli()) == nil {
+	err := counterpart.AnnounceEnd(ctx, u.host.addr(counterpart.ControlPort), u.instance, u.born.UnixMilli())
+	if err == nil {
 		u.checker.DrainAcknowledged(u.instance)
 	}
-	u.crash()
+	return err
 }
 
 // crash stops the upstream at once and closes all its connections.
