crash: crashes are counted by process, not by the name of the upstream

Cause: crashes were counted by the name of the upstream only, so that two crashes of two processes counted as one and the request was never blocked; and after 64 suspects nothing more was recorded for a name.

Change: a process is its name and its start (crash.Process). The owner, which knows the start, says it in the response, so that the entry node, which records the crash as well, does not count a second process.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -63,17 +63,26 @@
 
 	mu              sync.Mutex
 	requests        map[uint64]*request
-	suspectsByCrash map[string]int // number of suspects recorded by this node, by instance
+	suspectsByCrash map[string]int // number of suspects recorded by this node, by process
 }
 
 // request is the state of one fingerprint.
 type request struct {
-	// crashes maps the instances that crashed with the request in flight to the time when
+	// crashes maps the processes that crashed with the request in flight to the time when
 	// the suspicion expires.
 	crashes      map[string]time.Time
 	blockedUntil time.Time // end of the block; zero if not blocked
 }
 
+// Process returns the identity of a process of an upstream for RecordCrash: its instance, and its start in Unix milliseconds, as it may start
+// again under the name. born is 0 if instances are unique to processes, or the start is unknown.
+func Process(instance string, born int64) string {
+	if born == 0 {
+		return instance
+	}
+	return instance + "/" + strconv.FormatInt(born, 10)
+}
+
 // New returns a registry that exchanges suspicions with other nodes through facts, which
 // may be nil.
 func New(facts Facts, ev *events.Recorder) *Registry {
@@ -103,9 +112,9 @@
 	return r.requests[fingerprint] != nil
 }
 
-// RecordCrash records that the request was in flight when the given instance of an upstream
+// RecordCrash records that the request was in flight when the given process of an upstream
 // crashed.
-func (r *Registry) RecordCrash(fingerprint uint64, instance string) {
+func (r *Registry) RecordCrash(fingerprint uint64, process string) {
 	if r == nil {
 		return
 	}
@@ -113,14 +122,14 @@
 	if len(r.suspectsByCrash) >= maxRequests {
 		clear(r.suspectsByCrash)
 	}
-	r.suspectsByCrash[instance]++
-	if r.suspectsByCrash[instance] > maxSuspectsPerCrash {
+	r.suspectsByCrash[process]++
+	if r.suspectsByCrash[process] > maxSuspectsPerCrash {
 		r.mu.Unlock()
 		return
 	}
-	r.addCrash(fingerprint, instance, time.Now().Add(suspectLifetime))
+	r.addCrash(fingerprint, process, time.Now().Add(suspectLifetime))
 	r.mu.Unlock()
-	r.publish(fingerprint, instance, seqSuspected)
+	r.publish(fingerprint, process, seqSuspected)
 }
 
 // Clear removes the request from the suspects because an upstream has responded to it.
@@ -130,30 +139,30 @@
 	var crashes []string
 	if req := r.requests[fingerprint]; req != nil {
 		crashes = slices.Collect(maps.Keys(req.crashes))
-		for _, instance := range crashes {
-			r.removeCrash(fingerprint, req, instance)
+		for _, process := range crashes {
+			r.removeCrash(fingerprint, req, process)
 		}
 	}
 	r.mu.Unlock()
-	for _, instance := range crashes {
-		r.publish(fingerprint, instance, seqCleared)
+	for _, process := range crashes {
+		r.publish(fingerprint, process, seqCleared)
 	}
 }
 
 // Republish publishes an earlier suspicion again, for nodes that did not receive the first
 // fact.
-func (r *Registry) Republish(fingerprint uint64, instance string) {
+func (r *Registry) Republish(fingerprint uint64, process string) {
 	if r != nil && r.Suspected(fingerprint) {
-		r.publish(fingerprint, instance, seqRepublished)
+		r.publish(fingerprint, process, seqRepublished)
 	}
 }
 
-// publish gossips a fact about the request and the crashed instance.
-func (r *Registry) publish(fingerprint uint64, instance string, seq int64) {
+// publish gossips a fact about the request and the crashed process.
+func (r *Registry) publish(fingerprint uint64, process string, seq int64) {
 	if r.facts == nil {
 		return
 	}
-	r.facts.SetFact(gossip.Fact{Kind: FactKind, Key: strconv.FormatUint(fingerprint, 16) + "/" + instance,
+	r.facts.SetFact(gossip.Fact{Kind: FactKind, Key: strconv.FormatUint(fingerprint, 16) + "/" + process,
 		Seq: seq, Expires: time.Now().Add(suspectLifetime)})
 }
 
@@ -162,7 +171,7 @@
 	if f.Kind != FactKind {
 		return
 	}
-	hex, instance, _ := strings.Cut(f.Key, "/")
+	hex, process, _ := strings.Cut(f.Key, "/")
 	fingerprint, err := strconv.ParseUint(hex, 16, 64)
 	if err != nil {
 		return
@@ -171,15 +180,15 @@
 	defer r.mu.Unlock()
 	if f.Seq >= seqCleared {
 		if req := r.requests[fingerprint]; req != nil {
-			r.removeCrash(fingerprint, req, instance)
+			r.removeCrash(fingerprint, req, process)
 		}
 		return
 	}
-	r.addCrash(fingerprint, instance, f.Expires)
+	r.addCrash(fingerprint, process, f.Expires)
 }
 
 // addCrash adds a crash to a request and blocks it after crashesToBlock. r.mu is held.
-func (r *Registry) addCrash(fingerprint uint64, instance string, expires time.Time) {
+func (r *Registry) addCrash(fingerprint uint64, process string, expires time.Time) {
 	req := r.requests[fingerprint]
 	if req == nil {
 		if len(r.requests) >= maxRequests {
@@ -189,7 +198,7 @@
 		r.requests[fingerprint] = req
 		r.entries.Add(1)
 	}
-	req.crashes[instance] = expires
+	req.crashes[process] = expires
 	if len(req.crashes) >= crashesToBlock && req.blockedUntil.IsZero() {
 		req.blockedUntil = time.Now().Add(blockDuration)
 		r.events.Emit(events.RequestBlocked, events.Fields{"fingerprint": strconv.FormatUint(fingerprint, 16), "crashes": len(req.crashes)})
@@ -198,8 +207,8 @@
 
 // removeCrash removes a crash from a request, lifting its block if too few remain. r.mu is
 // held.
-func (r *Registry) removeCrash(fingerprint uint64, req *request, instance string) {
-	delete(req.crashes, instance)
+func (r *Registry) removeCrash(fingerprint uint64, req *request, process string) {
+	delete(req.crashes, process)
 	if len(req.crashes) < crashesToBlock && !req.blockedUntil.IsZero() {
 		req.blockedUntil = time.Time{}
 		r.events.Emit(events.RequestUnblocked, events.Fields{"fingerprint": strconv.FormatUint(fingerprint, 16)})
@@ -222,9 +231,9 @@
 		if now.Before(req.blockedUntil) {
 			continue
 		}
-		for instance, expires := range req.crashes {
+		for process, expires := range req.crashes {
 			if !req.blockedUntil.IsZero() || now.After(expires) {
-				r.removeCrash(fingerprint, req, instance)
+				r.removeCrash(fingerprint, req, process)
 			}
 		}
 	}
--- a/internal/delivery/owner.go
+++ b/internal/delivery/owner.go
@@ -392,7 +392,7 @@
 	case !up.client.AcceptsConn(ctx) && ctx.Err() == nil:
 		reason = proxy.ReasonCrashed
 		o.handleDown(up, err)
-		o.Crashes.RecordCrash(proxy.Fingerprint(req), up.Instance)
+		o.Crashes.RecordCrash(proxy.Fingerprint(req), crash.Process(up.Instance, up.Born))
 	}
 	switch reason {
 	case proxy.ReasonConnBroken, proxy.ReasonCrashed, proxy.ReasonInvalidResponse:
@@ -406,6 +406,9 @@
 		o.Observer.Observe(up.Version, req.Route, true, took)
 	}
 	res := proxy.Refusal(v, reason)
+	if reason == proxy.ReasonCrashed {
+		res.Born = up.Born
+	}
 	if v != verdict.NotRun {
 		res.ProcessingTime = took
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -331,7 +331,7 @@
 			d.recordNoResponse(e, now)
 		}
 		if res.Reason == proxy.ReasonCrashed {
-			d.Crashes.RecordCrash(proxy.Fingerprint(r), e.Instance)
+			d.Crashes.RecordCrash(proxy.Fingerprint(r), crash.Process(e.Instance, res.Born))
 		}
 	}
 }
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -152,6 +152,9 @@
 	OwnerTime time.Duration `msgpack:"e,omitempty"`
 	// Leaving means that the upstream that the request names said in its response that it leaves.
 	Leaving bool `msgpack:"g,omitempty"`
+	// Born is when the process that crashed with the request had started, in Unix milliseconds; 0 if it is unknown, or the
+	// reason is another one.
+	Born int64 `msgpack:"o,omitempty"`
 	// Pressure is reported to child requests: the ratio of the demand that goes before children of roots of this rank
 	// to what the upstream gets through, in thousandths; 0 when it is not known.
 	Pressure int `msgpack:"p,omitempty"`
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -36,9 +36,13 @@
 	ended    chan error
 
 	instance string
+	// born is the start of the upstream that it announces, and server its HTTP server.
+	born     atomic.Int64
+	server   atomic.Pointer[http.Server]
 	sequence int64
 	runs     atomic.Int64
 	checks   atomic.Int64 // health checks received
+	crashes  atomic.Int64
 	leaving  atomic.Bool
 	// mu guards lastRequest, the last request that ran.
 	mu          sync.Mutex
@@ -62,6 +66,11 @@
 		return
 	}
 	h.runs.Add(1)
+	if strings.HasSuffix(r.URL.Path, crashingPath) {
+		h.crashes.Add(1)
+		_ = h.server.Load().Close()
+		return
+	}
 	h.mu.Lock()
 	h.lastRequest = req
 	h.mu.Unlock()
@@ -75,6 +84,22 @@
 	counterpart.WriteResponse(w, req.ID, http.StatusOK, fmt.Appendf(nil, "%s %s %s", h.zone, r.URL.RequestURI(), body))
 }
 
+// crashingPath is the end of the path of a request that crashes the upstream.
+const crashingPath = "/crash"
+
+// startUpstream starts the upstream of the host, also after a crash; it keeps its name.
+func (h *host) startUpstream() {
+	l, err := net.Listen("tcp", h.addr(counterpart.UpstreamPort))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	server := &http.Server{Handler: h}
+	h.server.Store(server)
+	h.born.Add(1)
+	go func() { _ = server.Serve(l) }()
+	h.t.Cleanup(func() { _ = server.Close() })
+}
+
 // writeRaw writes text as it is and closes the connection.
 func writeRaw(w http.ResponseWriter, text string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -98,7 +123,7 @@
 func (h *host) announce(draining bool) bool {
 	h.sequence++
 	return counterpart.Announce(context.Background(), h.addr(counterpart.ControlPort), counterpart.Announcement{Instance: h.instance, Service: "stock",
-		Address: h.addr(counterpart.UpstreamPort), Zone: h.zone, Version: "v1", Slots: 8, Draining: draining, Sequence: h.sequence, Born: 1}) == nil
+		Address: h.addr(counterpart.UpstreamPort), Zone: h.zone, Version: "v1", Slots: 8, Draining: draining, Sequence: h.sequence, Born: h.born.Load()}) == nil
 }
 
 // get sends a request to the host's node as a caller does.
@@ -207,13 +232,7 @@
 
 func (m *mesh) start(ip, zone string) *host {
 	h := &host{t: m.t, ip: ip, zone: zone, instance: "i-" + ip}
-	l, err := net.Listen("tcp", h.addr(counterpart.UpstreamPort))
-	if err != nil {
-		m.t.Fatal(err)
-	}
-	server := &http.Server{Handler: h}
-	go func() { _ = server.Serve(l) }()
-	m.t.Cleanup(func() { _ = server.Close() })
+	h.startUpstream()
 	m.started = append(m.started, h)
 	m.startNode(h)
 	return h
