proxy: a known caller identifies a request that comes again

Cause: the fingerprint by which crashes are counted had all header fields but six known ones. One that differs made it another request, so that each crash was its first.

Change: the fingerprint has the caller in place of the fields where the caller is known, as it always is on the users' platform. The product's own interface names no caller; there the fields still stand in for it.

--- a/internal/proxy/crashed.go
+++ b/internal/proxy/crashed.go
@@ -110,16 +110,19 @@
 // Fingerprint identifies a request across resends; see fingerprint.
 func Fingerprint(req *Request) uint64 { return fingerprint(req) }
 
-// fingerprint identifies a request across resends and callers' connections. The order of its header
-// fields does not matter.
+// fingerprint identifies a request across resends and callers' connections. If its caller is unknown, its header fields stand in for
+// that, but for those that may differ; their order does not matter.
 func fingerprint(req *Request) uint64 {
 	d := xxhash.New()
-	for _, part := range [...]string{req.Service, req.Method, req.URI} {
+	for _, part := range [...]string{req.Service, req.Method, req.URI, req.Caller} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
 	_, _ = d.Write(req.Body)
 	sum := d.Sum64()
+	if req.Caller != "" {
+		return sum
+	}
 	for _, f := range req.Header {
 		if !volatileHeaders[f.Name] {
 			sum += xxhash.Sum64String(f.Name+"\x00"+f.Value) | 1
