--- a/internal/sidecar/departure_bench_test.go
+++ b/internal/sidecar/departure_bench_test.go
@@ -60,9 +60,9 @@
 				b.StartTimer()
 				eventually(b, "a request is served", func() bool { status, _ := m.hosts[0].get("/one/x"); return status == 200 })
 				first += time.Since(start)
-				m.each(func(h *host) {
+				for _, h := range m.hosts {
 					eventually(b, "the upstream is listed", func() bool { return h.node.members.Self().Upstream.Instance != "" })
-				})
+				}
 				last += time.Since(start)
 				b.StopTimer()
 				time.Sleep(2*time.Second - min(2*time.Second, time.Since(start)))
--- a/internal/sidecar/fleet_restart_test.go
+++ b/internal/sidecar/fleet_restart_test.go
@@ -21,13 +21,13 @@
 
 // settle waits until all nodes are ready members and all upstreams are listed. Each upstream announces itself twice.
 func (m *mesh) settle() {
-	m.each(func(h *host) {
+	for _, h := range m.hosts {
 		for range 2 {
 			eventually(m.t, "the announcement is acknowledged", func() bool { return h.announce(false) })
 		}
 		eventually(m.t, "all nodes are members, and this one is ready", func() bool { return h.node.aliveMembers() == len(m.hosts) && h.ready() })
 		eventually(m.t, "the upstream is listed", func() bool { return h.node.members.Self().Upstream.Instance == h.instance })
-	})
+	}
 }
 
 // All nodes end after one of them confirmed that its upstream leaves, so that no node remembers it. An announcement that the
@@ -149,12 +149,12 @@
 	m.each(m.startNode)
 	busy := m.hosts[2]
 	busy.leaving.Store(true) // fails its health checks
-	m.each(func(h *host) {
+	for _, h := range m.hosts {
 		eventually(t, "the announcement is acknowledged", func() bool { return h.announce(false) })
 		if h != busy {
 			eventually(t, "the upstream is listed", func() bool { return h.node.members.Self().Upstream.Instance == h.instance })
 		}
-	})
+	}
 	checks := busy.checks.Load()
 	eventually(t, "two health checks fail", func() bool { return busy.checks.Load() >= checks+2 })
 	if up := busy.node.members.Self().Upstream; up.Instance != "" {
